--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -0,0 +1,98 @@
+package larkbank.sidecar;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import larkbank.Json;
+import larkbank.LoadBalancer.Limits;
+import larkbank.LoadBalancer.Settings;
+import larkbank.SettingsReader;
+
+/** What one sidecar is told at its start. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+        Settings settings, long connectMicros, long drainGraceMicros, ServerList known,
+        ServerList.Reader lists) {
+
+    /** Descriptors that the Java runtime and the event loop hold beside the connections. */
+    private static final int OWN_DESCRIPTORS = 64;
+
+    /** Reads the file that {@code LB_CONFIG} names; the exception's message is one plain line. */
+    static Config read(Map<String, String> environment) throws IOException {
+        String file = environment.get("LB_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new IOException("LB_CONFIG names no file");
+        }
+        try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(Path.of(file)))) {
+            return of(Json.document(parser), environment);
+        } catch (JsonProcessingException e) {
+            throw new IOException(file + ": not JSON: " + e.getOriginalMessage(), e);
+        } catch (IllegalArgumentException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        } catch (IOException e) {
+            throw new IOException(file + ": " + (e.getMessage() == null ? e : e.getMessage()), e);
+        }
+    }
+
+    private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
+        if (!(c.get("settings") instanceof Map<?, ?> facts)) {
+            throw new IOException("'settings' is missing");
+        }
+        Map<?, ?> limits = Json.object(facts, "policy_limits");
+        ServerList.Reader lists = new ServerList.Reader(SettingsReader.names(facts, "zones"),
+                SettingsReader.names(facts, "models"));
+        ServerList known = c.get("known") instanceof Map<?, ?> m ? lists.read(m)
+                : new ServerList(0, true, List.of());
+        int sockets = (int) Math.min(65_536, Json.whole(Json.object(c, "limits"), "sockets", 1024));
+        if (sockets < 2 * OWN_DESCRIPTORS) {
+            throw new IOException("'sockets' must be " + 2 * OWN_DESCRIPTORS + " or more");
+        }
+        return new Config(text(c, "name", environment.get("LB_NAME")),
+                Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
+                Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), sockets,
+                keptIdle(SettingsReader.read(seed(c), facts)),
+                Json.whole(limits, "connect_timeout_us", 250_000),
+                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists);
+    }
+
+    /**
+     * Servers close what has been idle for the site's time, and a request written to such a connection is
+     * lost. So the pool closes well before, and the module is told the time that really holds.
+     */
+    private static Settings keptIdle(Settings s) {
+        Limits l = s.limits();
+        Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
+                l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2);
+        return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
+                s.overShareWorth(), s.probePrice(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
+                s.warmKeys(), s.tickMicros());
+    }
+
+    private static String text(Map<?, ?> c, String name, String first) throws IOException {
+        if (first != null && !first.isEmpty()) {
+            return first;
+        }
+        if (c.get(name) instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw new IOException("'" + name + "' is missing");
+    }
+
+    private static long seed(Map<?, ?> c) throws IOException {
+        try {
+            return Long.parseUnsignedLong(text(c, "seed", null), 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("'seed' must be up to 16 hex digits", e);
+        }
+    }
+
+    /** Half of the descriptors left are for clients and half for servers: a request needs one of each. */
+    int connections() {
+        return (sockets - OWN_DESCRIPTORS) / 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -0,0 +1,185 @@
+package larkbank.sidecar;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Watches the list of servers. Once asked, the watch goes on by itself; when it fails it stops, and it is the
+ * module that asks again.
+ */
+final class Discovery {
+
+    /** What the watch brings, always on the event loop. */
+    interface Listener {
+        void listed(ServerList list);
+
+        void failed(String why);
+    }
+
+    /**
+     * How long discovery may wait. Word that never arrives counts as told 2 s after this wait is over, so a
+     * long hold leaves a sidecar that discovery can't reach the longest time before it is held to what it
+     * could not hear; and a new watch costs the shared service a call, while one that goes on costs nothing.
+     * A longer one still would leave a silent peer unnoticed for as long.
+     */
+    private static final long HOLD_MILLIS = 20_000;
+    /** Silence beyond the hold is a dead peer; less than the 2 s after which word counts as told. */
+    private static final long SILENCE_MILLIS = 1_000;
+    private static final long CONNECT_MICROS = 1_000_000;
+    /** Pause after an answer without news that came early; a watch goes on for 200 ms after an answer. */
+    private static final long EARLY_MILLIS = 100;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final ServerList.Reader reader;
+    private final Listener listener;
+    private final long holdMillis;
+    private final Consumer<String> log;
+
+    private Peer peer;
+    private boolean watching;
+    private long revision;
+    private long askedAt;
+    private Future<?> silence;
+
+    Discovery(EventLoop loop, InetSocketAddress address, ServerList.Reader reader, long revision,
+            Listener listener, Consumer<String> log) {
+        this(loop, address, reader, revision, listener, log, HOLD_MILLIS);
+    }
+
+    /** For tests: with another hold. */
+    Discovery(EventLoop loop, InetSocketAddress address, ServerList.Reader reader, long revision,
+            Listener listener, Consumer<String> log, long holdMillis) {
+        this.loop = loop;
+        this.address = address;
+        this.reader = reader;
+        this.revision = revision;
+        this.listener = listener;
+        this.log = log;
+        this.holdMillis = holdMillis;
+    }
+
+    /** Begins to watch; while the watch is on there is nothing to ask for. */
+    void subscribe() {
+        if (!watching) {
+            watching = true;
+            ask();
+        }
+    }
+
+    void close() {
+        watching = false;
+        drop();
+    }
+
+    private void ask() {
+        if (!watching) {
+            return;
+        }
+        askedAt = System.nanoTime();
+        silence = loop.schedule(() -> fail("no answer"), holdMillis + SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+        if (peer == null) {
+            peer = new Peer();
+        } else if (peer.up) {
+            peer.send();
+        }
+    }
+
+    private void answered(FullHttpResponse answer) {
+        silence.cancel(false);
+        if (!answer.status().equals(HttpResponseStatus.OK)) {
+            fail("status " + answer.status().code());
+            return;
+        }
+        ServerList list;
+        try {
+            list = reader.read(ByteBufUtil.getBytes(answer.content()));
+        } catch (IOException e) {
+            fail("a malformed list: " + e.getMessage());
+            return;
+        }
+        revision = list.revision();
+        if (!HttpUtil.isKeepAlive(answer)) {
+            drop();
+        }
+        boolean early = list.entries().isEmpty()
+                && System.nanoTime() - askedAt < TimeUnit.MILLISECONDS.toNanos(holdMillis / 2);
+        if (early) {
+            loop.schedule(this::ask, EARLY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            ask();
+        }
+        listener.listed(list);
+    }
+
+    private void drop() {
+        if (silence != null) {
+            silence.cancel(false);
+        }
+        if (peer != null) {
+            Peer old = peer;
+            peer = null;
+            old.link.close();
+        }
+    }
+
+    private void fail(String why) {
+        watching = false;
+        drop();
+        log.accept("discovery: " + why);
+        listener.failed(why);
+    }
+
+    /** A connection to discovery; once it is dropped, nothing that it still tells counts. */
+    private final class Peer implements Link.Owner {
+        private final Link link = new Link(loop, address, CONNECT_MICROS, this);
+        private boolean up;
+
+        private void send() {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/v1/servers?from=" + revision + "&hold_ms=" + holdMillis, Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
+            link.send(request);
+        }
+
+        @Override
+        public void opened() {
+            up = true;
+            if (peer == this) {
+                send();
+            }
+        }
+
+        @Override
+        public void written() { }
+
+        @Override
+        public void answered(FullHttpResponse answer) {
+            if (peer == this) {
+                Discovery.this.answered(answer);
+            }
+        }
+
+        @Override
+        public void closed() {
+            if (peer == this) {
+                peer = null;
+                fail("connection lost");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -0,0 +1,119 @@
+package larkbank.sidecar;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.Settings;
+
+/** Turns a client's message into a request, or says why it is none. */
+final class RequestReader {
+
+    /** A message that no client of the protocol sends; its text goes into the 400. */
+    static final class BadRequest extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadRequest(String message) {
+            super(message);
+        }
+    }
+
+    /** The client's time runs from when it sent; this much is kept for the way here and back, at most. */
+    private static final long MARGIN_MICROS = 20_000;
+    private static final int MARGIN_PART = 10;
+    private static final int MAX_ID = 128;
+    private static final long MAX_NUMBER = 1_000_000_000;
+
+    private final Settings settings;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+
+    RequestReader(Settings settings) {
+        this.settings = settings;
+        for (int i = 0; i < settings.classes().size(); i++) {
+            classes.put(settings.classes().get(i).name(), i);
+        }
+        for (int i = 0; i < settings.tenants().size(); i++) {
+            tenants.put(settings.tenants().get(i).name(), i);
+        }
+    }
+
+    Call read(long now, FullHttpRequest http, Call.Client client) throws BadRequest {
+        if (http.decoderResult().isFailure()) {
+            throw new BadRequest("not HTTP");
+        }
+        HttpHeaders headers = http.headers();
+        String path = path(http.uri());
+        int slash = path.indexOf('/');
+        Integer requestClass = classes.get(slash < 0 ? path : path.substring(0, slash));
+        if (requestClass == null) {
+            throw new BadRequest("no such class");
+        }
+        boolean write = settings.classes().get(requestClass).effect() != Effect.SAFE;
+        checkMethod(http, settings.classes().get(requestClass).effect());
+        String id = Headers.single(headers, Headers.REQUEST_ID);
+        if (id == null || id.isEmpty() || id.length() > MAX_ID) {
+            throw new BadRequest("no " + Headers.REQUEST_ID);
+        }
+        long timeout = number(headers, Headers.TIMEOUT, 1) * 1000;
+        long deadline = now + timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART);
+        long hint = headers.contains(Headers.HINT) ? number(headers, Headers.HINT, 0) : 0;
+        long key = slash < 0 || slash == path.length() - 1 ? -1
+                : Ids.of(path.substring(path.lastIndexOf('/') + 1));
+        boolean repeat = headers.contains(Headers.RETRY, "1", false);
+        Request request = new Request(id, requestClass, tenant(headers), repeat, key, deadline, hint, write);
+        return new Call(request, http.method(), http.uri(), headers, ByteBufUtil.getBytes(http.content()),
+                client);
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        return path.startsWith("/") ? path.substring(1) : "";
+    }
+
+    /** The method and the key say what the client takes the class for; it must be what the settings say. */
+    private static void checkMethod(FullHttpRequest http, Effect effect) throws BadRequest {
+        List<String> keys = http.headers().getAll(Headers.IDEMPOTENCY_KEY);
+        HttpMethod wanted = effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        if (!http.method().equals(wanted)) {
+            throw new BadRequest("this class wants " + wanted);
+        }
+        if (effect == Effect.SAFE && http.content().isReadable()) {
+            throw new BadRequest("this class has no body");
+        }
+        if (keys.size() != (effect == Effect.KEYED ? 1 : 0)) {
+            throw new BadRequest(Headers.IDEMPOTENCY_KEY + " goes with keyed classes");
+        }
+    }
+
+    private int tenant(HttpHeaders headers) throws BadRequest {
+        if (tenants.isEmpty()) {
+            return 0;
+        }
+        Integer tenant = tenants.get(Headers.single(headers, Headers.TENANT));
+        if (tenant == null) {
+            throw new BadRequest("no such tenant");
+        }
+        return tenant;
+    }
+
+    private static long number(HttpHeaders headers, String name, long least) throws BadRequest {
+        String text = Headers.single(headers, name);
+        long value = -1;
+        try {
+            value = text == null ? -1 : Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            value = -1;
+        }
+        if (value < least || value > MAX_NUMBER) {
+            throw new BadRequest("bad " + name);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/ServerList.java
@@ -0,0 +1,68 @@
+package larkbank.sidecar;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import larkbank.Json;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
+
+/** Servers in discovery's form: the whole list, or what has changed. */
+record ServerList(long revision, boolean complete, List<Entry> entries) {
+
+    record Entry(Server server, InetSocketAddress address) { }
+
+    List<Server> servers() {
+        return entries.stream().map(Entry::server).toList();
+    }
+
+    /** Reads lists; zones and models are numbered as in the settings. */
+    record Reader(List<String> zones, List<String> models) {
+
+        private static final JsonFactory JSON = new JsonFactory();
+
+        ServerList read(byte[] text) throws IOException {
+            try (JsonParser parser = JSON.createParser(text)) {
+                return read(Json.document(parser));
+            }
+        }
+
+        /** All or nothing: a list that is wrong in one place is not trusted in another. */
+        ServerList read(Map<?, ?> m) throws IOException {
+            if (!(m.get("rev") instanceof Long revision) || !(m.get("all") instanceof Boolean complete)
+                    || !(m.get("targets") instanceof List<?> targets)) {
+                throw new IOException("a list without 'rev', 'all' or 'targets'");
+            }
+            List<Entry> entries = new ArrayList<>(targets.size());
+            for (Object target : targets) {
+                entries.add(entry(target));
+            }
+            return new ServerList(revision, complete, entries);
+        }
+
+        private Entry entry(Object target) throws IOException {
+            if (!(target instanceof Map<?, ?> m) || !(m.get("uid") instanceof String uid)
+                    || !(m.get("endpoint") instanceof String endpoint)) {
+                throw new IOException("a target without 'uid' or 'endpoint'");
+            }
+            Phase phase = switch (String.valueOf(m.get("state"))) {
+                case "in_service" -> Phase.READY;
+                case "terminating" -> Phase.DRAINING;
+                case "terminated" -> Phase.REMOVED;
+                default -> throw new IOException("unknown state '" + m.get("state") + "'");
+            };
+            Server server = new Server(Ids.of(uid), zones.indexOf(m.get("az")),
+                    models.indexOf(m.get("model")), (int) Json.whole(m, "pod_group", 0), phase,
+                    Json.whole(m, "boot_ms", 0) * 1000, Json.real(m, "capacity_hint", 1));
+            try {
+                return new Entry(server, Addresses.parse(endpoint));
+            } catch (IllegalArgumentException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -0,0 +1,302 @@
+package larkbank.sidecar;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import larkbank.LoadBalancer.LoadReport;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Server;
+import larkbank.sidecar.Call.Attempt;
+
+/**
+ * Connections to the servers and the attempts on them. A connection carries one attempt at a time; nothing is
+ * ever sent a second time by the pool itself.
+ */
+final class ServerPool {
+
+    /** How an attempt ended; the answer is there only when a server gave one, and only during the call. */
+    interface Listener {
+        void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Listener listener;
+    private final int most;
+    private final long connectMicros;
+    private final long drainGraceMicros;
+    private final long idleMicros;
+    private final Map<Long, Node> nodes = new HashMap<>();
+    private final Map<Attempt, Connection> busy = new HashMap<>();
+    private int open;
+
+    private static final class Node {
+        Server line;
+        InetSocketAddress address;
+        /** When the sidecar was told that it drains or is gone; 0 while it is in service. */
+        long leavingSince;
+        /** The most recently used last. */
+        final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    }
+
+    ServerPool(EventLoop loop, Clock clock, Config config, Listener listener) {
+        this.loop = loop;
+        this.clock = clock;
+        this.listener = listener;
+        most = config.connections();
+        connectMicros = config.connectMicros();
+        drainGraceMicros = config.drainGraceMicros();
+        idleMicros = config.settings().limits().idleMicros();
+        long sweep = Math.max(1, Math.min(1_000_000, idleMicros / 10));
+        loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MICROSECONDS);
+    }
+
+    /** Takes over what discovery says of the servers. */
+    void update(ServerList list) {
+        long now = clock.micros();
+        Set<Long> named = new HashSet<>();
+        for (ServerList.Entry entry : list.entries()) {
+            named.add(entry.server().id());
+            Node node = nodes.computeIfAbsent(entry.server().id(), id -> new Node());
+            boolean other = node.line != null && (!entry.address().equals(node.address)
+                    || entry.server().startMicros() != node.line.startMicros());
+            node.line = entry.server();
+            node.address = entry.address();
+            if (other) {
+                closeIdle(node);
+            }
+            leaving(node, entry.server().phase() != Phase.READY, now);
+        }
+        if (list.complete()) {
+            for (Map.Entry<Long, Node> node : nodes.entrySet()) {
+                if (!named.contains(node.getKey())) {
+                    leaving(node.getValue(), true, now);
+                }
+            }
+        }
+    }
+
+    private void leaving(Node node, boolean leaving, long now) {
+        if (!leaving) {
+            node.leavingSince = 0;
+        } else if (node.leavingSince == 0) {
+            node.leavingSince = now;
+            closeIdle(node);
+        }
+    }
+
+    /** Whether any server is in service. */
+    boolean anyReady() {
+        return nodes.values().stream().anyMatch(n -> n.leavingSince == 0);
+    }
+
+    /** Sends an attempt on the connection used last, or on a new one. */
+    void start(Attempt attempt) {
+        Node node = nodes.get(attempt.server);
+        if (node == null) {
+            end(attempt, Result.NOT_SENT, null, null);
+            return;
+        }
+        Connection connection = node.idle.pollLast();
+        while (connection != null && !connection.link.usable()) {
+            connection = node.idle.pollLast();
+        }
+        if (connection == null && open >= most && !closeOldestIdle()) {
+            // The bound keeps descriptors for clients; past it the attempt never leaves this process.
+            end(attempt, Result.NO_CONNECTION, null, null);
+            return;
+        }
+        if (connection != null) {
+            connection.take(attempt);
+            connection.write();
+        } else {
+            new Connection(node).take(attempt);
+        }
+    }
+
+    /** Stops an attempt, which tells the server so, and closes its connection. */
+    void abandon(Attempt attempt) {
+        Connection connection = busy.remove(attempt);
+        if (connection != null) {
+            connection.attempt = null;
+            connection.link.close();
+        }
+    }
+
+    void closeIdle(long server) {
+        Node node = nodes.get(server);
+        if (node != null) {
+            closeIdle(node);
+        }
+    }
+
+    void close() {
+        nodes.values().forEach(ServerPool::closeIdle);
+        List.copyOf(busy.keySet()).forEach(this::abandon);
+    }
+
+    private static void closeIdle(Node node) {
+        for (Connection c; (c = node.idle.poll()) != null;) {
+            c.link.close();
+        }
+    }
+
+    private boolean closeOldestIdle() {
+        Connection oldest = null;
+        for (Node node : nodes.values()) {
+            Connection c = node.idle.peekFirst();
+            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
+                oldest = c;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.node.idle.pollFirst();
+        oldest.link.close();
+        return true;
+    }
+
+    private void closeStale() {
+        long now = clock.micros();
+        for (Node node : nodes.values()) {
+            while (!node.idle.isEmpty() && now - node.idle.peekFirst().idleSince >= idleMicros) {
+                node.idle.pollFirst().link.close();
+            }
+        }
+    }
+
+    private void end(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer) {
+        busy.remove(attempt);
+        if (attempt.result == null) {
+            listener.ended(attempt, result, report, answer);
+        }
+    }
+
+    /** A connection to a server: coming up, carrying an attempt, or idle. */
+    private final class Connection implements Link.Owner {
+        private final Node node;
+        private final Link link;
+        private Attempt attempt;
+        private long idleSince;
+
+        Connection(Node node) {
+            this.node = node;
+            open++;
+            link = new Link(loop, node.address, connectMicros, this);
+        }
+
+        void take(Attempt next) {
+            attempt = next;
+            busy.put(next, this);
+        }
+
+        /**
+         * The last look before the first byte: a connection may have outlived the decision that asked for it,
+         * and by now the request be over, its time used up, or the server past its drain grace.
+         */
+        void write() {
+            long now = clock.micros();
+            boolean late = node.leavingSince != 0 && now - node.leavingSince >= drainGraceMicros;
+            if (attempt.call.over || now >= attempt.giveUpAt || late) {
+                Attempt unsent = attempt;
+                rest();
+                end(unsent, Result.NOT_SENT, null, null);
+                return;
+            }
+            link.send(request(attempt, now));
+        }
+
+        private FullHttpRequest request(Attempt a, long now) {
+            Call call = a.call;
+            HttpHeaders headers = Headers.endToEnd(call.headers);
+            headers.set(Headers.TIMEOUT, Math.max(1, (a.giveUpAt - now) / 1000));
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+            if (call.body.length > 0 || !call.method.equals(HttpMethod.GET)) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
+            }
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri,
+                    Unpooled.wrappedBuffer(call.body), headers, new DefaultHttpHeaders());
+        }
+
+        /** Becomes idle, or closes where it will not be used again. */
+        private void rest() {
+            attempt = null;
+            if (node.leavingSince != 0 || !link.usable()) {
+                link.close();
+            } else {
+                idleSince = clock.micros();
+                node.idle.addLast(this);
+            }
+        }
+
+        @Override
+        public void opened() {
+            if (attempt != null) {
+                write();
+            }
+        }
+
+        @Override
+        public void written() {
+            if (attempt != null) {
+                attempt.written = true;
+            }
+        }
+
+        @Override
+        public void answered(FullHttpResponse answer) {
+            if (attempt == null) {
+                link.close();
+                return;
+            }
+            Attempt done = attempt;
+            if (done.written && HttpUtil.isKeepAlive(answer)) {
+                rest();
+            } else {
+                attempt = null;
+                link.close();
+            }
+            end(done, result(answer), LoadReports.parse(answer.headers().get(Headers.LOAD)), answer);
+        }
+
+        private static Result result(FullHttpResponse answer) {
+            int status = answer.status().code();
+            if (status == HttpResponseStatus.OK.code()) {
+                return Result.SERVED;
+            }
+            boolean turnedAway = (status == 503 || status == 504)
+                    && "1".equals(answer.headers().get(Headers.NOT_STARTED));
+            return turnedAway ? Result.FULL : Result.ERROR;
+        }
+
+        @Override
+        public void closed() {
+            open--;
+            node.idle.remove(this);
+            if (attempt != null) {
+                Attempt lost = attempt;
+                attempt = null;
+                end(lost, lost.written ? Result.BROKEN : Result.NO_CONNECTION, null, null);
+            }
+        }
+    }
+}
--- a/src/main/java/larkbank/simhost/SimHost.java
+++ b/src/main/java/larkbank/simhost/SimHost.java
@@ -41,12 +41,9 @@
         }
     }
 
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar larkbank.jar simhost");
-            System.exit(2);
-        }
-        System.exit(new SimHost().run(System.in, System.out, System.err));
+    /** Serves standard input and output until the input ends; the exit status. */
+    public static int serve() {
+        return new SimHost().run(System.in, System.out, System.err);
     }
 
     /** Answers batches until the input ends; the exit status. */
