--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -24,6 +24,7 @@
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Server;
+import larkbank.LoadReports;
 import larkbank.sidecar.Call.Attempt;
 
 /**
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -112,14 +114,15 @@
         }
     }
 
-    /** Hands the module its first list and opens the door; done once clients can connect. */
-    CompletableFuture<Void> start() {
-        CompletableFuture<Void> started = new CompletableFuture<>();
+    /** Hands the module its first list and opens the door; gives the address once clients can connect. */
+    CompletableFuture<InetSocketAddress> start() {
+        CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
         loop.execute(() -> {
             listed(ListKind.CACHED, config.known());
-            clients.listen(config.listen()).addListener(f -> {
+            ChannelFuture bound = clients.listen(config.listen());
+            bound.addListener(f -> {
                 if (f.isSuccess()) {
-                    started.complete(null);
+                    started.complete((InetSocketAddress) bound.channel().localAddress());
                 } else {
                     started.completeExceptionally(f.cause());
                 }
--- a/src/main/java/larkbank/simhost/Fields.java
+++ b/src/main/java/larkbank/simhost/Fields.java
@@ -15,6 +15,7 @@
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
+import larkbank.LoadReports;
 import larkbank.SettingsReader;
 
 /** The fields of one message, read in one pass and turned into the library's types. */
@@ -97,12 +98,7 @@
         if (!(values.get("server_stats") instanceof Map<?, ?> m)) {
             return null;
         }
-        return new LoadReport(figure(m, "active"), figure(m, "waiting"), figure(m, "cpu"),
-                figure(m, "avg_ms"), figure(m, "rps"), figure(m, "err_rps"));
-    }
-
-    private static double figure(Map<?, ?> m, String name) {
-        return Json.real(m, name, Double.NaN);
+        return LoadReports.of(m);
     }
 
     List<Server> rows() throws WireException {
