Test the sidecar over loopback sockets

Scripted servers, discovery and raw clients cover every outcome of the protocol's table, that unsafe requests are never sent twice, one answer under racing outcomes, the drain grace, SIGTERM with work in hand, a client that leaves, a watch lost and restored, the connection bound and bad input.

--- a/src/main/java/larkbank/LoadReports.java
+++ b/src/main/java/larkbank/LoadReports.java
@@ -13,8 +13,8 @@
 
     /** The report in an object; what it lacks is unknown. */
     public static LoadReport of(Map<?, ?> m) {
-        return new LoadReport(figure(m, "active"), figure(m, "waiting"), figure(m, "cpu"), figure(m, "avg_ms"),
-                figure(m, "rps"), figure(m, "err_rps"));
+        return new LoadReport(figure(m, "active"), figure(m, "waiting"), figure(m, "cpu"),
+                figure(m, "avg_ms"), figure(m, "rps"), figure(m, "err_rps"));
     }
 
     private static double figure(Map<?, ?> m, String name) {
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.FileSystemException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -34,8 +35,10 @@
             throw new IOException(file + ": not JSON: " + e.getOriginalMessage(), e);
         } catch (IllegalArgumentException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
+        } catch (FileSystemException e) {
+            throw new IOException(file + ": can't be read", e);
         } catch (IOException e) {
-            throw new IOException(file + ": " + (e.getMessage() == null ? e : e.getMessage()), e);
+            throw new IOException(file + ": " + e.getMessage(), e);
         }
     }
 
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -0,0 +1,160 @@
+package larkbank.sidecar;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Assertions;
+
+/** A sidecar on free loopback ports between scripted servers, a scripted discovery and raw clients. */
+final class Harness implements AutoCloseable {
+
+    static final String NOTHING_NEW = "{'rev':1,'all':false,'targets':[]}";
+
+    private static final String SETTINGS = "{'classes':["
+            + "{'name':'search','effect':'pure','aim_us':400000,'deadline_us':3000000,'worth':1,"
+            + "'late_value':0.5},"
+            + "{'name':'hold','effect':'token','aim_us':400000,'deadline_us':3000000,'worth':1,"
+            + "'late_value':0.5,'dedup_window_us':3000000},"
+            + "{'name':'book','effect':'side_effect','aim_us':400000,'deadline_us':3000000,'worth':1,"
+            + "'late_value':0.5}],"
+            + "'tenants':[{'name':'acme','share':1}],'zones':['a'],'models':['m'],'zone':0,'discovery':'ask',"
+            + "'policy_limits':{'attempts_cap':4,'cancelling':true,'retry_after':true,"
+            + "'max_retry_after_us':2000000,'conn_idle_us':15000000,'connect_timeout_us':CONNECT},"
+            + "'report':{'source':'answers','names':['cpu','rps','err_rps']},"
+            + "'rules':{'ask_every_us':800000,'drain_grace_us':300000,'cold_from':0.3,'cold_us':1000000,"
+            + "'fall_us':1000000},'tick_us':1000}";
+
+    final Stub discovery;
+    final EventLoop loop;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Client> clients = new ArrayList<>();
+    final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    final Path file;
+    Sidecar sidecar;
+    InetSocketAddress address;
+
+    Harness(Path folder, Stub... servers) throws Exception {
+        this(folder, 250_000, 1024, servers);
+    }
+
+    Harness(Path folder, long connectMicros, int sockets, Stub... servers) throws Exception {
+        // The first answer says what is known already; the watch that goes on then hears nothing.
+        discovery = new Stub(seen -> { });
+        loop = group.next();
+        file = folder.resolve("config.json");
+        Files.writeString(file, json(("{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
+                + discovery.port() + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
+                + "},'known':" + list(1, true, "in_service", servers) + ",'settings':" + SETTINGS + "}")
+                .replace("CONNECT", String.valueOf(connectMicros))));
+    }
+
+    static String json(String quoted) {
+        return quoted.replace('\'', '"');
+    }
+
+    static String list(int revision, boolean all, String state, Stub... servers) {
+        List<String> targets = new ArrayList<>();
+        for (Stub server : servers) {
+            targets.add("{'uid':'s-" + server.port() + "','endpoint':'127.0.0.1:" + server.port()
+                    + "','az':'a','model':'m','pod_group':0,'state':'" + state + "','boot_ms':0}");
+        }
+        return "{'rev':" + revision + ",'all':" + all + ",'targets':[" + String.join(",", targets) + "]}";
+    }
+
+    Config config() throws IOException {
+        return Config.read(Map.of("LB_CONFIG", file.toString()));
+    }
+
+    Harness start() throws Exception {
+        Config config = config();
+        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true))).get();
+        address = sidecar.start().get(10, TimeUnit.SECONDS);
+        return this;
+    }
+
+    Client client() throws IOException {
+        Client client = new Client(address);
+        clients.add(client);
+        return client;
+    }
+
+    CountDownLatch stop() {
+        CountDownLatch ended = new CountDownLatch(1);
+        loop.execute(() -> sidecar.stop(ended::countDown));
+        return ended;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Client client : clients) {
+            client.close();
+        }
+        discovery.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5, TimeUnit.SECONDS);
+    }
+
+    /** A client's connection. */
+    static final class Client implements AutoCloseable {
+        private static int ids;
+        final Socket socket;
+
+        Client(InetSocketAddress address) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), address.getPort());
+            socket.setSoTimeout(10_000);
+        }
+
+        static synchronized String id() {
+            return String.format("%016x", ++ids);
+        }
+
+        static String head(String method, String path, long timeoutMillis, String more, int length) {
+            return method + " " + path + " HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: " + id()
+                    + "\r\nTenant: acme\r\nRequest-Timeout-Ms: " + timeoutMillis + "\r\n" + more
+                    + (length > 0 ? "Content-Length: " + length + "\r\n" : "") + "\r\n";
+        }
+
+        Client raw(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            return this;
+        }
+
+        Client search(long timeoutMillis) throws IOException {
+            return raw(head("GET", "/search/k1", timeoutMillis, "", 0));
+        }
+
+        Client book(String body, long timeoutMillis) throws IOException {
+            return raw(head("POST", "/book/k1?x=1", timeoutMillis, "", body.length()) + body);
+        }
+
+        Http.Message answer() throws IOException {
+            Http.Message answer = Http.read(socket.getInputStream());
+            Assertions.assertNotNull(answer, "closed without an answer");
+            return answer;
+        }
+
+        void assertClosed() throws IOException {
+            Assertions.assertEquals(-1, socket.getInputStream().read(), "more than one answer");
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/Http.java
@@ -0,0 +1,55 @@
+package larkbank.sidecar;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Just enough HTTP/1.1 to look at the bytes that the sidecar writes. */
+final class Http {
+
+    private Http() { }
+
+    record Message(String first, Map<String, String> headers, String body) {
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+    }
+
+    /** The next message, or null at the end of the connection. */
+    static Message read(InputStream in) throws IOException {
+        String first = line(in);
+        if (first == null) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String line; !(line = String.valueOf(line(in))).isEmpty();) {
+            int colon = line.indexOf(':');
+            if (colon < 0) {
+                throw new EOFException("ended within the head");
+            }
+            headers.put(line.substring(0, colon), line.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("ended within the body");
+        }
+        return new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c; (c = in.read()) != '\n';) {
+            if (c < 0) {
+                return null;
+            }
+            if (c != '\r') {
+                line.append((char) c);
+            }
+        }
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -0,0 +1,108 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The program as the platform runs it. */
+@Timeout(60)
+class ProcessTest {
+
+    @TempDir
+    Path folder;
+
+    private static ProcessBuilder program(Path config, String listen) {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java,
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "larkbank.Main", "serve");
+        builder.environment().put("LB_CONFIG", config.toString());
+        builder.environment().put("LB_LISTEN", listen);
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        return builder;
+    }
+
+    private static Harness.Client connect(InetSocketAddress address, Process process) throws Exception {
+        while (true) {
+            try {
+                return new Harness.Client(address);
+            } catch (ConnectException e) {
+                assertTrue(process.isAlive(), "the program ended");
+                process.waitFor(20, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    @Test
+    void terminationAnswersWhatIsInHandAndExitsWithZero() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
+            Process process = program(harness.file, "127.0.0.1:" + address.getPort()).start();
+            try (Harness.Client client = connect(address, process)) {
+                client.book("x", 20_000);
+                Stub.Seen held = server.take();
+                process.destroy();
+                assertTrue(!process.waitFor(600, TimeUnit.MILLISECONDS), "ended with a request in hand");
+                held.reply("200 OK", "", "done");
+                assertEquals("done", client.answer().body());
+                client.assertClosed();
+                assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'' | not a JSON object",
+        "[] | not a JSON object",
+        "{'a': | not JSON",
+        "{'seed':'1'} | 'settings' is missing",
+        "{'name':'n','seed':'1','listen':'localhost:80','settings':{}} | not an address",
+        "{'name':'n','seed':'x','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','settings':{}} | 'seed'",
+        "{'name':'n','seed':'1','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','settings':{}} | classes",
+        "{'name':'n','seed':'1','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','limits':{'sockets':9},"
+                + "'settings':{}} | 'sockets'",
+        "{'name':'n','seed':'1','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','known':{'rev':1},"
+                + "'settings':{}} | a list without",
+    })
+    void badConfigurationIsOnePlainLine(String text, String message) throws Exception {
+        Path file = folder.resolve("bad.json");
+        Files.writeString(file, Harness.json(text.equals("''") ? "" : text));
+        assertOneLine(Map.of("LB_CONFIG", file.toString()), message);
+    }
+
+    @Test
+    void missingConfigurationIsOnePlainLine() {
+        assertOneLine(Map.of(), "LB_CONFIG");
+        assertOneLine(Map.of("LB_CONFIG", folder.resolve("none").toString()), "none");
+    }
+
+    private static void assertOneLine(Map<String, String> environment, String message) {
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        assertEquals(2, Sidecar.serve(environment, new PrintStream(errors, true)));
+        String text = errors.toString(StandardCharsets.UTF_8);
+        assertEquals(1, text.lines().count(), text);
+        assertTrue(text.contains(message), text);
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -0,0 +1,257 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import larkbank.LoadBalancer.LoadReport;
+import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.Result;
+import larkbank.sidecar.Call.Attempt;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The pool alone: what the module's own limits would keep a whole sidecar from reaching. */
+@Timeout(60)
+class ServerPoolTest {
+
+    private static final long CONNECT_MICROS = 20_000_000;
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final Clock clock = new Clock();
+    private LoadReport lastReport;
+    private Harness harness;
+    private ServerPool pool;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    private Stub server(Stub.Script script) throws IOException {
+        Stub stub = new Stub(script);
+        open.add(stub);
+        return stub;
+    }
+
+    private void start(int sockets, Stub... servers) throws Exception {
+        harness = new Harness(folder, CONNECT_MICROS, sockets, servers);
+        open.add(harness);
+        Config config = harness.config();
+        pool = harness.loop.submit(() -> new ServerPool(harness.loop, clock, config, this::ended)).get();
+        update(Harness.list(1, true, "in_service", servers));
+    }
+
+    private void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer) {
+        attempt.result = result;
+        lastReport = report;
+        results.add(result);
+    }
+
+    private void update(String list) throws Exception {
+        Config config = harness.config();
+        harness.loop.submit(() -> {
+            pool.update(config.lists().read(Harness.json(list).getBytes()));
+            return null;
+        }).get();
+    }
+
+    private Attempt send(int port) throws Exception {
+        long now = clock.micros();
+        Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, 0, false);
+        Call call = new Call(request, HttpMethod.GET, "/search", new DefaultHttpHeaders(), new byte[0], null);
+        Attempt attempt = new Attempt(call, Ids.of("s-" + port), now, request.deadlineMicros());
+        harness.loop.submit(() -> pool.start(attempt)).get();
+        return attempt;
+    }
+
+    private Result result() throws InterruptedException {
+        Result result = results.poll(20, TimeUnit.SECONDS);
+        assertNotNull(result, "no attempt ended");
+        return result;
+    }
+
+    @Test
+    void pastTheBoundThereIsNoConnection() throws Exception {
+        Stub server = server(Stub.SILENT);
+        start(128, server);
+        int bound = harness.config().connections();
+        for (int i = 0; i < bound; i++) {
+            send(server.port());
+            server.take();
+        }
+        send(server.port());
+        assertEquals(Result.NO_CONNECTION, result());
+        assertEquals(bound, server.accepted.get());
+    }
+
+    @Test
+    void idleConnectionsMakeRoom() throws Exception {
+        Stub first = server(Stub.serves("ok"));
+        Stub second = server(Stub.SILENT);
+        start(128, first, second);
+        send(first.port());
+        assertEquals(Result.SERVED, result());
+        for (int i = 0; i < harness.config().connections(); i++) {
+            send(second.port());
+            second.take();
+        }
+        first.awaitEnd();
+        assertTrue(results.isEmpty());
+    }
+
+    @Test
+    void outcomesAreToldApart() throws Exception {
+        Stub server = server(Stub.answers("200 OK",
+                "Server-Load: TEXT cpu=0.5, x=1, rps=-3, err_rps=y\r\n", "ok"));
+        start(1024, server);
+        send(server.port());
+        assertEquals(Result.SERVED, result());
+        assertEquals(0.5, lastReport.utilization());
+        assertTrue(Double.isNaN(lastReport.rate()) && Double.isNaN(lastReport.errorRate()));
+        server.script(Stub.answers("500 No", "", ""));
+        send(server.port());
+        assertEquals(Result.ERROR, result());
+        assertNull(lastReport);
+        server.script(Stub.answers("504 Over", "Not-Started: 1\r\n", ""));
+        send(server.port());
+        assertEquals(Result.FULL, result());
+        server.script(Stub.HANG_UP);
+        send(server.port());
+        assertEquals(Result.BROKEN, result());
+        server.close();
+        send(server.port());
+        assertEquals(Result.NO_CONNECTION, result());
+    }
+
+    @Test
+    void mostRecentConnectionIsUsedFirst() throws Exception {
+        Stub server = server(Stub.SILENT);
+        start(1024, server);
+        send(server.port());
+        Stub.Seen first = server.take();
+        send(server.port());
+        Stub.Seen second = server.take();
+        second.reply("200 OK", "", "");
+        assertEquals(Result.SERVED, result());
+        first.reply("200 OK", "", "");
+        assertEquals(Result.SERVED, result());
+        send(server.port());
+        assertEquals(first.socket(), server.take().socket());
+    }
+
+    @Test
+    void answerThatEndsTheConnectionIsNotFollowed() throws Exception {
+        Stub server = server(Stub.answers("200 OK", "Connection: close\r\n", "ok"));
+        start(1024, server);
+        send(server.port());
+        assertEquals(Result.SERVED, result());
+        server.awaitEnd();
+        send(server.port());
+        assertEquals(Result.SERVED, result());
+        assertEquals(2, server.accepted.get());
+    }
+
+    /** A listening socket whose queue is full: connections to it come up only once it accepts. */
+    private static final class Jammed implements AutoCloseable {
+        final ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> filling = new ArrayList<>();
+
+        Jammed() throws IOException {
+            try {
+                while (filling.size() < 20) {
+                    Socket next = new Socket();
+                    filling.add(next);
+                    next.connect(socket.getLocalSocketAddress(), 300);
+                }
+            } catch (SocketTimeoutException e) {
+                return;
+            }
+            throw new IOException("the queue never filled up");
+        }
+
+        /** Closes what fills the queue and gives the connection that comes up then. */
+        Socket acceptNext() throws IOException {
+            for (int i = 0; i < filling.size() - 1; i++) {
+                socket.accept().close();
+            }
+            return socket.accept();
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket s : filling) {
+                s.close();
+            }
+            socket.close();
+        }
+    }
+
+    private String jammedList(int revision, String state, Jammed jammed) {
+        return Harness.list(revision, true, state).replace("[]", "[{'uid':'s-" + jammed.socket.getLocalPort()
+                + "','endpoint':'127.0.0.1:" + jammed.socket.getLocalPort() + "','state':'" + state + "'}]");
+    }
+
+    /** A connection that comes up after the drain grace: the decision to use it is out of date. */
+    @Test
+    void nothingIsWrittenPastTheDrainGrace() throws Exception {
+        Jammed jammed = new Jammed();
+        open.add(jammed);
+        start(1024);
+        update(jammedList(1, "in_service", jammed));
+        Attempt attempt = send(jammed.socket.getLocalPort());
+        update(jammedList(2, "terminating", jammed));
+        assertNull(results.poll(harness.config().drainGraceMicros() + 50_000, TimeUnit.MICROSECONDS));
+        Socket up = jammed.acceptNext();
+        assertEquals(Result.NOT_SENT, result());
+        assertFalse(attempt.written);
+        assertEquals(-1, up.getInputStream().read());
+    }
+
+    /** The same within the grace: what was decided before may still be sent. */
+    @Test
+    void withinTheDrainGraceADecisionHolds() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        start(1024, server);
+        update(Harness.list(2, true, "terminating", server));
+        send(server.port());
+        assertEquals(Result.SERVED, result());
+    }
+
+    @Test
+    void requestThatIsOverIsNotWritten() throws Exception {
+        Jammed jammed = new Jammed();
+        open.add(jammed);
+        start(1024);
+        update(jammedList(1, "in_service", jammed));
+        Attempt attempt = send(jammed.socket.getLocalPort());
+        attempt.call.over = true;
+        Socket up = jammed.acceptNext();
+        assertEquals(Result.NOT_SENT, result());
+        harness.loop.submit(pool::close).get();
+        assertEquals(-1, up.getInputStream().read());
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/SidecarTest.java
@@ -0,0 +1,352 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The whole sidecar between real sockets. */
+@Timeout(60)
+class SidecarTest {
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    private Stub server(Stub.Script script) throws IOException {
+        Stub stub = new Stub(script);
+        open.add(stub);
+        return stub;
+    }
+
+    private Harness sidecar(Stub... servers) throws Exception {
+        Harness harness = new Harness(folder, servers);
+        open.add(harness);
+        return harness.start();
+    }
+
+    @Test
+    void answerIsPassedOnUnchanged() throws Exception {
+        Stub server = server(Stub.answers("200 OK",
+                "Content-Type: text/x\r\nServer-Load: TEXT cpu=0.5\r\n", "\u00ff\0b"));
+        Http.Message answer = sidecar(server).client().book("slot=7", 2_000).answer();
+        assertEquals(200, answer.status());
+        assertEquals("\u00ff\0b", answer.body());
+        assertEquals("text/x", answer.headers().get("Content-Type"));
+        assertNull(answer.headers().get("Server-Load"));
+        Http.Message sent = server.take().request();
+        assertEquals("POST /book/k1?x=1 HTTP/1.1", sent.first());
+        assertEquals("slot=7", sent.body());
+        assertEquals(16, sent.headers().get("Request-Id").length());
+        long told = Long.parseLong(sent.headers().get("Request-Timeout-Ms"));
+        assertTrue(told > 1_000 && told < 2_000, "told the server " + told);
+    }
+
+    @Test
+    void idempotencyKeyGoesOn() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        String head = Harness.Client.head("POST", "/hold/k1", 2_000, "Idempotency-Key: abc\r\n", 2);
+        assertEquals(200, sidecar(server).client().raw(head + "{}").answer().status());
+        assertEquals("abc", server.take().request().headers().get("Idempotency-Key"));
+    }
+
+    /** Each of these may have run, so an unsafe request fails and is never sent again, by anyone. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "HTTP/1.1 500 No\\r\\nContent-Length: 0\\r\\n\\r\\n | false",
+        "HTTP/1.1 503 No\\r\\nContent-Length: 0\\r\\n\\r\\n | false",
+        "HTTP/1.1 429 No\\r\\nContent-Length: 0\\r\\nNot-Started: 1\\r\\n\\r\\n | false",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nshort | true",
+        "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nshort\\r\\n | true",
+        "HTTP/1.1 200 OK\\r\\n\\r\\nends with the connection | true",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 65537\\r\\n\\r\\n | false",
+        "no HTTP at all\\r\\n\\r\\n | false",
+        "'' | true",
+    })
+    void unsafeThatMayHaveRunFails(String text, boolean hangUp) throws Exception {
+        Stub.Script script = seen -> {
+            seen.raw(text.strip().replace("\\r", "\r").replace("\\n", "\n"));
+            if (hangUp) {
+                seen.socket().close();
+            }
+        };
+        Stub one = server(script);
+        Stub two = server(script);
+        Http.Message answer = sidecar(one, two).client().book("x", 1_000).answer();
+        assertEquals(502, answer.status());
+        assertEquals(1, one.seen.size() + two.seen.size());
+    }
+
+    @Test
+    void unsafeThatWasTurnedAwayGoesToAnotherServer() throws Exception {
+        for (String status : List.of("503 Full", "504 Over")) {
+            Stub one = server(Stub.answers(status, "Not-Started: 1\r\n", ""));
+            Stub two = server(Stub.answers(status, "Not-Started: 1\r\n", ""));
+            Stub.Script once = seen -> {
+                one.script(Stub.serves("second"));
+                two.script(Stub.serves("second"));
+                seen.reply(status, "Not-Started: 1\r\n", "");
+            };
+            one.script(once);
+            two.script(once);
+            assertEquals("second", sidecar(one, two).client().book("x", 2_000).answer().body());
+            String id = one.take().request().headers().get("Request-Id");
+            assertEquals(id, two.take().request().headers().get("Request-Id"));
+        }
+    }
+
+    @Test
+    void refusedConnectionProvesThatNothingRan() throws Exception {
+        Stub gone = server(Stub.SILENT);
+        gone.close();
+        Stub here = server(Stub.serves("here"));
+        Harness harness = sidecar(gone, here);
+        for (int i = 0; i < 8; i++) {
+            assertEquals("here", harness.client().book("x", 2_000).answer().body());
+        }
+    }
+
+    @Test
+    void allServersGoneIsARefusalWithAdvice() throws Exception {
+        Stub gone = server(Stub.SILENT);
+        gone.close();
+        Http.Message answer = sidecar(gone).client().book("x", 300).answer();
+        assertEquals(503, answer.status());
+        assertTrue(Double.parseDouble(answer.headers().get("Retry-After")) > 0);
+    }
+
+    @Test
+    void silenceIsAFailureInTime() throws Exception {
+        Stub server = server(Stub.SILENT);
+        long start = System.nanoTime();
+        Http.Message answer = sidecar(server).client().book("x", 400).answer();
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        assertEquals(504, answer.status());
+        assertTrue(millis < 2_000, "answered after " + millis + " ms");
+        assertEquals(1, server.seen.size());
+        server.awaitEnd();
+    }
+
+    /** Answers that meet the deadline from both sides: one answer each, and always to its own request. */
+    @Test
+    void oneAnswerWhenOutcomesRace() throws Exception {
+        Stub server = server(seen -> {
+            int late = seen.request().headers().get("Request-Id").hashCode() % 12;
+            seen.socket().setTcpNoDelay(true);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(85 + late));
+            seen.reply("200 OK", "", seen.request().headers().get("Request-Id"));
+        });
+        Harness harness = sidecar(server);
+        Harness.Client client = harness.client();
+        for (int i = 0; i < 30; i++) {
+            String head = Harness.Client.head("GET", "/search/k", 100, "", 0);
+            String id = head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
+            Http.Message answer = client.raw(head).answer();
+            if (answer.status() == 200) {
+                assertEquals(id, answer.body());
+            } else {
+                assertTrue(List.of(502, 503, 504).contains(answer.status()), answer.first());
+            }
+        }
+        client.raw("GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        assertEquals(200, client.answer().status());
+        client.assertClosed();
+    }
+
+    @Test
+    void connectionIsUsedAgain() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness.Client client = sidecar(server).client();
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, client.search(2_000).answer().status());
+        }
+        assertEquals(1, server.accepted.get());
+    }
+
+    /** A server may end an idle connection at any time; what is written to it afterwards would be lost. */
+    @Test
+    void idleConnectionThatEndedIsNotUsed() throws Exception {
+        Stub server = server(seen -> seen.reply("200 OK", "", "ok"));
+        Harness.Client client = sidecar(server).client();
+        assertEquals(200, client.book("x", 2_000).answer().status());
+        server.take().socket().close();
+        server.awaitEnd();
+        assertEquals(200, client.book("x", 2_000).answer().status());
+        assertEquals(2, server.accepted.get());
+    }
+
+    @Test
+    void clientThatLeavesStopsItsAttempt() throws Exception {
+        Stub server = server(Stub.SILENT);
+        Harness harness = sidecar(server);
+        Harness.Client client = harness.client().book("x", 30_000);
+        Socket carrying = server.take().socket();
+        client.close();
+        server.awaitEnd();
+        assertTrue(carrying.isClosed());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "nonsense | 400",
+        "GET /nosuch/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: 9 | 400",
+        "GET /search/k HTTP/1.1;Tenant: acme;Request-Timeout-Ms: 9 | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Request-Timeout-Ms: 9 | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Tenant: x;Request-Timeout-Ms: 9 | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Tenant: acme | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: -5 | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: 1e3 | 400",
+        "GET /search/k HTTP/1.1;Request-Id: a;Request-Id: b;Tenant: acme;Request-Timeout-Ms: 9 | 400",
+        "GET /book/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: 9 | 400",
+        "POST /hold/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: 9;Content-Length: 0 | 400",
+        "POST /book/k HTTP/1.1;Request-Id: a;Tenant: acme;Request-Timeout-Ms: 9;Content-Length: 65537 | 413",
+    })
+    void badRequestReachesNoServer(String text, int status) throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = sidecar(server);
+        Harness.Client client = harness.client().raw(text.replace(";", "\r\n") + "\r\n\r\n");
+        assertEquals(status, client.answer().status());
+        client.assertClosed();
+        assertEquals(0, server.accepted.get());
+        assertEquals(200, harness.client().search(2_000).answer().status());
+    }
+
+    @Test
+    void requestIdInHandIsRejected() throws Exception {
+        Stub server = server(Stub.SILENT);
+        Harness harness = sidecar(server);
+        String head = Harness.Client.head("GET", "/search/k", 5_000, "", 0);
+        harness.client().raw(head);
+        server.take();
+        assertEquals(400, harness.client().raw(head).answer().status());
+    }
+
+    @Test
+    void healthNeedsAServer() throws Exception {
+        String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+        Harness harness = sidecar();
+        assertEquals(503, harness.client().raw(health).answer().status());
+        Stub server = server(Stub.serves("ok"));
+        String list = Harness.json(Harness.list(2, true, "in_service", server));
+        harness.discovery.take().reply("200 OK", "", list);
+        harness.discovery.take();
+        assertEquals(200, harness.client().raw(health).answer().status());
+    }
+
+    // ---- Discovery
+
+    @Test
+    void drainedServerIsSentNothing() throws Exception {
+        Stub leaving = server(Stub.serves("leaving"));
+        Stub staying = server(Stub.serves("staying"));
+        Harness harness = sidecar(leaving, staying);
+        harness.discovery.take().reply("200 OK", "",
+                Harness.json(Harness.list(2, false, "terminating", leaving)));
+        String next = harness.discovery.take().request().first();
+        assertTrue(next.startsWith("GET /v1/servers?from=2&hold_ms="), next);
+        for (int i = 0; i < 20; i++) {
+            assertEquals("staying", harness.client().search(2_000).answer().body());
+        }
+        assertEquals(0, leaving.seen.size());
+    }
+
+    @Test
+    void absenceFromAWholeListIsTheEnd() throws Exception {
+        Stub gone = server(Stub.serves("gone"));
+        Stub staying = server(Stub.serves("staying"));
+        Harness harness = sidecar(gone, staying);
+        harness.discovery.take().reply("200 OK", "",
+                Harness.json(Harness.list(2, true, "in_service", staying)));
+        harness.discovery.take();
+        for (int i = 0; i < 20; i++) {
+            assertEquals("staying", harness.client().search(2_000).answer().body());
+        }
+    }
+
+    /** A watch that fails in any way keeps the old list, and is asked for again until it answers. */
+    @Test
+    void watchIsRestored() throws Exception {
+        Stub old = server(Stub.serves("old"));
+        Stub fresh = server(Stub.serves("fresh"));
+        Harness harness = sidecar(old);
+        harness.discovery.take().socket().close();
+        harness.discovery.take().reply("503 Busy", "", "");
+        harness.discovery.take().reply("200 OK", "", "{\"rev\":2,\"all\":true,\"targets\":[{}]}");
+        Stub.Seen again = harness.discovery.take();
+        assertTrue(again.request().first().contains("from=1&"), again.request().first());
+        assertEquals("old", harness.client().search(2_000).answer().body());
+        again.reply("200 OK", "", Harness.json(Harness.list(3, true, "in_service", fresh)));
+        harness.discovery.take();
+        assertEquals("fresh", harness.client().search(2_000).answer().body());
+    }
+
+    @Test
+    void silentDiscoveryIsGivenUp() throws Exception {
+        Stub silent = server(Stub.SILENT);
+        Harness harness = new Harness(folder);
+        open.add(harness);
+        var address = Addresses.parse("127.0.0.1:" + silent.port());
+        var failures = new LinkedBlockingQueue<String>();
+        Discovery.Listener listener = new Discovery.Listener() {
+            @Override
+            public void listed(ServerList list) { }
+
+            @Override
+            public void failed(String why) {
+                failures.add(why);
+            }
+        };
+        Config config = harness.config();
+        harness.loop.execute(() -> new Discovery(harness.loop, address, config.lists(), 1, listener,
+                line -> { }, 50).subscribe());
+        assertEquals("no answer", failures.poll(10, TimeUnit.SECONDS));
+        silent.awaitEnd();
+    }
+
+    // ---- The end
+
+    @Test
+    void workInHandIsAnsweredAtTheEnd() throws Exception {
+        Stub server = server(Stub.SILENT);
+        Harness harness = sidecar(server);
+        Harness.Client busy = harness.client().book("x", 30_000);
+        Harness.Client idle = harness.client();
+        Stub.Seen held = server.take();
+        var ended = harness.stop();
+        Harness.Client late = harness.client();
+        late.raw("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertEquals(503, late.answer().status());
+        server.script(Stub.serves("late"));
+        assertEquals("late", harness.client().search(5_000).answer().body());
+        idle.assertClosed();
+        assertNotEquals(0, ended.getCount());
+        held.reply("200 OK", "", "held");
+        Http.Message answer = busy.answer();
+        assertEquals("held", answer.body());
+        assertEquals("close", answer.headers().get("Connection"));
+        busy.assertClosed();
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/Stub.java
@@ -0,0 +1,123 @@
+package larkbank.sidecar;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Assertions;
+
+/** A scripted peer on a free loopback port: each test says what it does with a request. */
+final class Stub implements AutoCloseable {
+
+    /** A request as it came, and the connection that it came on. */
+    record Seen(Http.Message request, Socket socket) {
+        void reply(String status, String headers, String body) throws IOException {
+            raw("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+                    + body);
+        }
+
+        void raw(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+    }
+
+    interface Script {
+        void on(Seen seen) throws IOException;
+    }
+
+    static final Script SILENT = seen -> { };
+    static final Script HANG_UP = seen -> seen.socket().close();
+
+    final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+    /** One entry for each connection that has ended. */
+    final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+    final AtomicInteger accepted = new AtomicInteger();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final ServerSocket listening;
+    private volatile Script script;
+
+    Stub(Script script) throws IOException {
+        this.script = script;
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    static Script answers(String status, String headers, String body) {
+        return seen -> seen.reply(status, headers, body);
+    }
+
+    static Script serves(String body) {
+        return answers("200 OK", "", body);
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    Seen take() throws InterruptedException {
+        Seen next = seen.poll(10, TimeUnit.SECONDS);
+        Assertions.assertNotNull(next, "no request came");
+        return next;
+    }
+
+    void awaitEnd() throws InterruptedException {
+        Assertions.assertNotNull(ended.poll(10, TimeUnit.SECONDS), "no connection ended");
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "stub");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listening.accept();
+                sockets.add(socket);
+                accepted.incrementAndGet();
+                daemon(() -> talk(socket));
+            }
+        } catch (IOException e) {
+            // Closed: the test is over.
+        }
+    }
+
+    private void talk(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (Http.Message m; (m = Http.read(in)) != null;) {
+                Seen next = new Seen(m, socket);
+                seen.add(next);
+                script.on(next);
+            }
+        } catch (IOException e) {
+            // The peer hung up, which a test may want.
+        } finally {
+            ended.add(socket);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
