--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
@@ -32,6 +33,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The listening side: reads clients' requests, writes their answers, and closes down without losing any. */
 final class ClientServer {
@@ -59,16 +61,18 @@
     private final EventLoop loop;
     private final Service service;
     private final int most;
+    private final Consumer<String> log;
     /** Open connections, the one that was answered last at the end. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
     private boolean ending;
     private long acceptedAt = System.nanoTime();
 
-    ClientServer(EventLoop loop, Service service, int most) {
+    ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
         this.loop = loop;
         this.service = service;
         this.most = most;
+        this.log = log;
     }
 
     ChannelFuture listen(InetSocketAddress address) {
@@ -218,6 +222,13 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                log.accept("client connection: " + cause);
+                if (client != null) {
+                    client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
+                            Unpooled.EMPTY_BUFFER);
+                }
+            }
             context.close();
         }
 
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -94,8 +94,15 @@
         }
     }
 
-    /** Half of the descriptors left are for clients and half for servers: a request needs one of each. */
-    int connections() {
-        return (sockets - OWN_DESCRIPTORS) / 2;
+    /**
+     * Connections to servers: a third of what is left. In an overload most requests are held or refused and
+     * need a client's connection only; one that can't be accepted is lost, one that can't be sent is not.
+     */
+    int serverConnections() {
+        return (sockets - OWN_DESCRIPTORS) / 3;
+    }
+
+    int clientConnections() {
+        return sockets - OWN_DESCRIPTORS - serverConnections();
     }
 }
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -62,7 +62,7 @@
         this.loop = loop;
         this.clock = clock;
         this.listener = listener;
-        most = config.connections();
+        most = config.serverConnections();
         connectMicros = config.connectMicros();
         drainGraceMicros = config.drainGraceMicros();
         idleMicros = config.settings().limits().idleMicros();
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import larkbank.Choice;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
@@ -30,6 +31,7 @@
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Outcome;
 import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Settings;
 import larkbank.sidecar.Call.Attempt;
 
 /**
@@ -64,15 +66,21 @@
     }
 
     Sidecar(EventLoop loop, Config config, PrintStream log) {
+        this(loop, config, log, Choice::new);
+    }
+
+    /** With another module. */
+    Sidecar(EventLoop loop, Config config, PrintStream log,
+            BiFunction<Settings, Actions, LoadBalancer> modules) {
         this.loop = loop;
         this.config = config;
         this.log = log;
-        module = new Choice(config.settings(), this);
+        module = modules.apply(config.settings(), this);
         reader = new RequestReader(config.settings());
         pool = new ServerPool(loop, clock, config, this);
         discovery = new Discovery(loop, config.discovery(), config.lists(), config.known().revision(), this,
                 this::log);
-        clients = new ClientServer(loop, this, config.connections());
+        clients = new ClientServer(loop, this, config.clientConnections(), this::log);
     }
 
     /** Runs a sidecar until it is told to end; the exit status. */
@@ -119,6 +127,10 @@
         CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
         loop.execute(() -> {
             listed(ListKind.CACHED, config.known());
+            if (!config.settings().discoveryOnAsk()) {
+                // Pushed lists wait at an agent, which answers a watch; the module asks for nothing then.
+                discovery.subscribe();
+            }
             ChannelFuture bound = clients.listen(config.listen());
             bound.addListener(f -> {
                 if (f.isSuccess()) {
@@ -156,17 +168,24 @@
             return;
         }
         inModule = true;
-        for (Event e; (e = events.pollFirst()) != null;) {
-            try {
-                e.told.tell(clock.micros());
-            } catch (RuntimeException failure) {
-                log("request " + (e.about == null ? "-" : e.about.request.id()) + ": " + failure);
-                if (e.about != null) {
-                    abort(e.about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
-                }
+        try {
+            for (Event e; (e = events.pollFirst()) != null;) {
+                tell(e);
+            }
+        } finally {
+            inModule = false;
+        }
+    }
+
+    private void tell(Event e) {
+        try {
+            e.told.tell(clock.micros());
+        } catch (RuntimeException failure) {
+            log("request " + (e.about == null ? "-" : e.about.request.id()) + ": " + failure);
+            if (e.about != null) {
+                abort(e.about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
             }
         }
-        inModule = false;
     }
 
     private void listed(ListKind kind, ServerList list) {
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -17,6 +17,11 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import larkbank.Choice;
+import larkbank.LoadBalancer;
+import larkbank.LoadBalancer.Actions;
+import larkbank.LoadBalancer.Settings;
 import org.junit.jupiter.api.Assertions;
 
 /** A sidecar on free loopback ports between scripted servers, a scripted discovery and raw clients. */
@@ -81,8 +86,12 @@
     }
 
     Harness start() throws Exception {
+        return start(Choice::new);
+    }
+
+    Harness start(BiFunction<Settings, Actions, LoadBalancer> modules) throws Exception {
         Config config = config();
-        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true))).get();
+        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), modules)).get();
         address = sidecar.start().get(10, TimeUnit.SECONDS);
         return this;
     }
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -98,7 +98,7 @@
     void pastTheBoundThereIsNoConnection() throws Exception {
         Stub server = server(Stub.SILENT);
         start(128, server);
-        int bound = harness.config().connections();
+        int bound = harness.config().serverConnections();
         for (int i = 0; i < bound; i++) {
             send(server.port());
             server.take();
@@ -115,7 +115,7 @@
         start(128, first, second);
         send(first.port());
         assertEquals(Result.SERVED, result());
-        for (int i = 0; i < harness.config().connections(); i++) {
+        for (int i = 0; i < harness.config().serverConnections(); i++) {
             send(second.port());
             second.take();
         }
--- a/src/test/java/larkbank/sidecar/SidecarTest.java
+++ b/src/test/java/larkbank/sidecar/SidecarTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import larkbank.LoadBalancer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -255,6 +256,87 @@
         assertEquals(200, harness.client().raw(health).answer().status());
     }
 
+    /** An exception costs one request its result, never its answer, and no other request anything. */
+    @Test
+    void exceptionInTheModuleIsAnsweredAndLogged() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = new Harness(folder, server);
+        open.add(harness);
+        harness.start((settings, actions) -> new QuietModule() {
+            private boolean thrown;
+
+            @Override
+            public void request(long nowMicros, LoadBalancer.Request request) {
+                if (!thrown) {
+                    thrown = true;
+                    throw new IllegalStateException("probe");
+                }
+                actions.refuse(request.id(), 0);
+            }
+        });
+        Harness.Client client = harness.client();
+        assertEquals(500, client.search(2_000).answer().status());
+        assertEquals(503, client.search(2_000).answer().status());
+        assertTrue(harness.log.toString().contains("IllegalStateException: probe"), harness.log.toString());
+    }
+
+    /** What an action brings about at once reaches the module after the call that asked for it. */
+    @Test
+    void moduleIsNotEnteredAgainFromItsOwnAction() throws Exception {
+        Harness harness = new Harness(folder);
+        open.add(harness);
+        List<String> order = new ArrayList<>();
+        harness.start((settings, actions) -> new QuietModule() {
+            @Override
+            public void request(long nowMicros, LoadBalancer.Request request) {
+                order.add("request");
+                actions.send(request.id(), 1, 0);
+                order.add("sent to a server that no list names");
+            }
+
+            @Override
+            public void outcome(long nowMicros, LoadBalancer.Outcome outcome) {
+                order.add(outcome.result().toString());
+                actions.fail(outcome.requestId());
+            }
+        });
+        assertEquals(502, harness.client().search(2_000).answer().status());
+        assertEquals(List.of("request", "sent to a server that no list names", "NOT_SENT"), order);
+    }
+
+    /** Past the bound a client takes the place of an idle one; descriptors never run out. */
+    @Test
+    void clientsPastTheBoundReplaceIdleOnes() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = new Harness(folder, 250_000, 128, server);
+        open.add(harness);
+        harness.start();
+        Harness.Client first = harness.client();
+        assertEquals(200, first.search(5_000).answer().status());
+        // Idle ones that came a moment ago are left alone, so that their first request can arrive.
+        Thread.sleep(150);
+        for (int i = 0; i < harness.config().clientConnections(); i++) {
+            assertEquals(200, harness.client().search(5_000).answer().status());
+        }
+        first.assertClosed();
+    }
+
+    /** A module that says nothing of a request leaves it to the sidecar, which answers in time. */
+    @Test
+    void forgottenRequestIsAnsweredAndTheModuleTold() throws Exception {
+        Harness harness = new Harness(folder);
+        open.add(harness);
+        var left = new LinkedBlockingQueue<String>();
+        harness.start((settings, actions) -> new QuietModule() {
+            @Override
+            public void clientLeft(long nowMicros, String requestId) {
+                left.add(requestId);
+            }
+        });
+        assertEquals(504, harness.client().search(200).answer().status());
+        assertEquals(16, left.poll(10, TimeUnit.SECONDS).length());
+    }
+
     // ---- Discovery
 
     @Test
--- a/src/test/java/larkbank/sidecar/Stub.java
+++ b/src/test/java/larkbank/sidecar/Stub.java
@@ -45,12 +45,13 @@
     final AtomicInteger accepted = new AtomicInteger();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final ServerSocket listening;
+    private final Thread accepting;
     private volatile Script script;
 
     Stub(Script script) throws IOException {
         this.script = script;
         listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(this::accept);
+        accepting = daemon(this::accept);
     }
 
     static Script answers(String status, String headers, String body) {
@@ -79,10 +80,11 @@
         Assertions.assertNotNull(ended.poll(10, TimeUnit.SECONDS), "no connection ended");
     }
 
-    private static void daemon(Runnable task) {
+    private static Thread daemon(Runnable task) {
         Thread thread = new Thread(task, "stub");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void accept() {
@@ -113,9 +115,15 @@
         }
     }
 
+    /** Once this returns, connections are refused: while the accepting thread is in, some still come up. */
     @Override
     public void close() throws IOException {
         listening.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
