Lose no client at the connection bound

At fault in ClientServer: Connection.channelInactive accepted again after every close whether there was room or not, in batches of 16 that were counted only afterwards; an answered connection stayed open and idle while others waited. Mend: accept one at a time and only below the bound; an answer closes its connection while others wait. Tests: clientPastTheBoundIsAcceptedAfterAnAnswer, pastTheMostInHandTheOldestHeldIsRefused.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -360,6 +360,8 @@
         rate = rate * Math.exp(-(now - rateAt) / rateSpan) + admitted / rateSpan;
         rateAt = now;
         watch(now);
+        if (requests.size() > settings.limits().open()) makeRoom(now, p);
+        if (p.over) return;
         if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
             // No time is left for a look or a timer (incident i0f9bed: an arrival at its own deadline).
             end(now, p);
@@ -373,6 +375,20 @@
         } else admit(now, p);
     }
 
+    /**
+     * Past the most that the instance may have in hand, the held or new request that is worth least is
+     * refused, of equals the oldest: its time is the shortest, and a client that can't get in loses its own.
+     */
+    private void makeRoom(long now, Pending fresh) {
+        Pending least = null;
+        for (Pending p : held) if (least == null || value(p) < value(least)) least = p;
+        end(now, least == null || value(fresh) < value(least) ? fresh : least);
+    }
+
+    private double value(Pending p) {
+        return p.rules.worth() * (p.beyondShare ? settings.overShareWorth() : 1);
+    }
+
     private long lookMicros() {
         return (long) Math.min(probeMicros * 1.5 + settings.tickMicros(), aimMicros * FRESH);
     }
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -53,9 +53,9 @@
         }
     }
 
-    /** What the site allows. */
+    /** What the site allows; open is how many requests an instance may have in hand. */
     record Limits(int attempts, boolean cancelling, boolean probing,
-            boolean retryAdvice, long maxRetryAdviceMicros, long idleMicros) { }
+            boolean retryAdvice, long maxRetryAdviceMicros, long idleMicros, int open) { }
 
     /**
      * Figures of the rules on drains, on cold servers and on further attempts: within the look-back at most
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -51,6 +53,8 @@
     }
 
     private static final int BACKLOG = 512;
+    private static final RecvByteBufAllocator ONE_AT_A_TIME =
+            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
     /** A rejected client may go on sending for so long; closing at once could lose the 400. */
     private static final long LINGER_MILLIS = 1_000;
     /** How long new connections go on coming after the end was announced. */
@@ -79,6 +83,8 @@
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // One at a time, so that the bound is looked at before the next.
+                .option(ChannelOption.RECVBUF_ALLOCATOR, ONE_AT_A_TIME)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -174,7 +180,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
-            listening.config().setAutoRead(true);
+            if (connections.size() < most) {
+                listening.config().setAutoRead(true);
+            }
             if (client != null) {
                 Exchange gone = client;
                 client = null;
@@ -247,7 +255,8 @@
                     return;
                 }
                 client = null;
-                boolean last = !keep || ending;
+                // While others wait to be accepted, a connection that stays open and idle shuts them out.
+                boolean last = !keep || ending || !listening.config().isAutoRead();
                 FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                         headers, new DefaultHttpHeaders());
                 HttpUtil.setContentLength(response, content.readableBytes());
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -58,19 +58,22 @@
         return new Config(text(c, "name", environment.get("LB_NAME")),
                 Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
                 Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), sockets,
-                keptIdle(SettingsReader.read(seed(c), facts)),
+                within(SettingsReader.read(seed(c), facts), sockets),
                 Json.whole(limits, "connect_timeout_us", 250_000),
                 Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists);
     }
 
     /**
-     * Servers close what has been idle for the site's time, and a request written to such a connection is
-     * lost. So the pool closes well before, and the module is told the time that really holds.
+     * The module is told what really holds. Servers close what has been idle for the site's time, and a
+     * request written to such a connection is lost: the pool closes well before. And each request in hand
+     * keeps a client's connection busy: where all are, new clients can't be accepted and their requests are
+     * lost, so a part of the connections stays free for the next ones.
      */
-    private static Settings keptIdle(Settings s) {
+    private static Settings within(Settings s, int sockets) {
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
-                l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2);
+                l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
+                Math.min(l.open(), clientConnections(sockets) / 8 * 7));
         return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
                 s.overShareWorth(), s.probePrice(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
                 s.warmKeys(), s.tickMicros());
@@ -95,14 +98,22 @@
     }
 
     /**
-     * Connections to servers: a third of what is left. In an overload most requests are held or refused and
+     * Connections to servers: a quarter of what is left. In an overload most requests are held or refused and
      * need a client's connection only; one that can't be accepted is lost, one that can't be sent is not.
      */
     int serverConnections() {
-        return (sockets - OWN_DESCRIPTORS) / 3;
+        return serverConnections(sockets);
+    }
+
+    private static int serverConnections(int sockets) {
+        return (sockets - OWN_DESCRIPTORS) / 4;
     }
 
     int clientConnections() {
-        return sockets - OWN_DESCRIPTORS - serverConnections();
+        return clientConnections(sockets);
+    }
+
+    private static int clientConnections(int sockets) {
+        return sockets - OWN_DESCRIPTORS - serverConnections(sockets);
     }
 }
--- a/src/test/java/larkbank/RulesTest.java
+++ b/src/test/java/larkbank/RulesTest.java
@@ -68,6 +68,19 @@
         assertTrue(r.sent.stream().noneMatch(s -> s.server() == 1));
     }
 
+    @Test
+    void pastTheMostInHandTheOldestHeldIsRefused() {
+        Settings one = Recorder.settings(Effect.UNSAFE, Group.ALL);
+        Settings alike = new Settings(one.seed(), 0, 3, 0, one.zones(), one.classes(), List.of(), 1, 0,
+                one.limits(), one.rules(), one.reports(), false, false, 1000);
+        Recorder r = new Recorder(alike, 0);
+        for (int i = 0; i < 103; i++) {
+            r.request("x" + i);
+        }
+        assertEquals(List.of("x0", "x1", "x2"), r.refused);
+        assertTrue(r.failed.isEmpty());
+    }
+
     @Test
     void heldRequestIsRefusedBeforeTheClientGivesUp() {
         Recorder r = new Recorder(Recorder.settings(Effect.UNSAFE, Group.ALL), 0);
--- a/src/test/java/larkbank/sidecar/SidecarTest.java
+++ b/src/test/java/larkbank/sidecar/SidecarTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import larkbank.LoadBalancer;
 import org.junit.jupiter.api.AfterEach;
@@ -337,6 +338,42 @@
         assertEquals(16, left.poll(10, TimeUnit.SECONDS).length());
     }
 
+    /** Where all are busy a new client waits, and the next connection that is answered makes way for it. */
+    @Test
+    void clientPastTheBoundIsAcceptedAfterAnAnswer() throws Exception {
+        Harness harness = new Harness(folder, 250_000, 128);
+        open.add(harness);
+        var inHand = new LinkedBlockingQueue<String>();
+        var actions = new AtomicReference<LoadBalancer.Actions>();
+        harness.start((settings, does) -> {
+            actions.set(does);
+            return new QuietModule() {
+                @Override
+                public void request(long nowMicros, LoadBalancer.Request request) {
+                    inHand.add(request.id());
+                }
+            };
+        });
+        int bound = harness.config().clientConnections();
+        List<Harness.Client> clients = new ArrayList<>();
+        String first = null;
+        for (int i = 0; i < bound; i++) {
+            clients.add(harness.client().search(30_000));
+            String id = inHand.poll(10, TimeUnit.SECONDS);
+            first = i == 0 ? id : first;
+        }
+        for (int i = 0; i < 20; i++) {
+            clients.add(harness.client().search(30_000));
+        }
+        assertNull(inHand.poll(200, TimeUnit.MILLISECONDS));
+        String refused = first;
+        harness.loop.execute(() -> actions.get().refuse(refused, 0));
+        assertEquals(503, clients.get(0).answer().status());
+        clients.get(0).assertClosed();
+        assertEquals(16, inHand.poll(10, TimeUnit.SECONDS).length());
+        assertNull(inHand.poll(200, TimeUnit.MILLISECONDS));
+    }
+
     // ---- Discovery
 
     @Test
