Divide the descriptors anew: each request of the clients' third finds a connection

Checked: an idle process holds 11 descriptors (listed from /proc), so 64 set aside were 50 too many; clients hold a third (85) for requests at most, and the servers' quarter of the rest was 48. Ruled out: memory (45 of 128 MB), CPU (0.5 of a core at most), servers (0 full). At fault: Config.OWN_DESCRIPTORS, serverConnections and the bound on open requests, which at 126 lay over the 85 that clients can hold and so never bound.

--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -20,8 +20,12 @@
         Settings settings, long connectMicros, long drainGraceMicros, ServerList known,
         ServerList.Reader lists) {
 
-    /** Descriptors that the Java runtime and the event loop hold beside the connections. */
-    private static final int OWN_DESCRIPTORS = 64;
+    /**
+     * Descriptors beside the clients' and servers' connections: the runtime, its files and the event loop
+     * hold 11; discovery's connection, a second one while it moves, and the configuration read again make 14.
+     */
+    private static final int OWN_DESCRIPTORS = 24;
+    private static final int LEAST_DESCRIPTORS = 128;
 
     /** Reads the file that {@code LB_CONFIG} names; the exception's message is one plain line. */
     static Config read(Map<String, String> environment) throws IOException {
@@ -52,8 +56,8 @@
         ServerList known = c.get("known") instanceof Map<?, ?> m ? lists.read(m)
                 : new ServerList(0, true, List.of());
         int sockets = (int) Math.min(65_536, Json.whole(Json.object(c, "limits"), "sockets", 1024));
-        if (sockets < 2 * OWN_DESCRIPTORS) {
-            throw new IOException("'sockets' must be " + 2 * OWN_DESCRIPTORS + " or more");
+        if (sockets < LEAST_DESCRIPTORS) {
+            throw new IOException("'sockets' must be " + LEAST_DESCRIPTORS + " or more");
         }
         return new Config(text(c, "name", environment.get("LB_NAME")),
                 Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
@@ -66,14 +70,14 @@
     /**
      * The module is told what really holds. Servers close what has been idle for the site's time, and a
      * request written to such a connection is lost: the pool closes well before. And each request in hand
-     * keeps a client's connection busy: where all are, new clients can't be accepted and their requests are
-     * lost, so a part of the connections stays free for the next ones.
+     * keeps a client's connection busy, of which clients have a third of the descriptors at most: where all
+     * are busy their next requests are lost whatever they are worth, so a part stays free for the next ones.
      */
     private static Settings within(Settings s, int sockets) {
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                Math.min(l.open(), clientConnections(sockets) / 8 * 7));
+                Math.min(l.open(), sockets / 3 / 8 * 7));
         return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
                 s.overShareWorth(), s.probePrice(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
                 s.warmKeys(), s.tickMicros());
@@ -98,15 +102,16 @@
     }
 
     /**
-     * Connections to servers: a quarter of what is left. In an overload most requests are held or refused and
-     * need a client's connection only; one that can't be accepted is lost, one that can't be sent is not.
+     * Connections to servers: four ninths of what is left. Clients hold a third of all descriptors for
+     * requests, each of which may be out at a server, so the servers' part is that third and a few idle ones
+     * more; what remains for clients is that third and as many again as idle or unfit ones may take.
      */
     int serverConnections() {
         return serverConnections(sockets);
     }
 
     private static int serverConnections(int sockets) {
-        return (sockets - OWN_DESCRIPTORS) / 4;
+        return (sockets - OWN_DESCRIPTORS) / 9 * 4;
     }
 
     int clientConnections() {
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/ConfigTest.java
@@ -0,0 +1,28 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the limits that a sidecar is told turn into. */
+class ConfigTest {
+
+    @TempDir
+    Path folder;
+
+    /** Clients may hold a third of the descriptors for requests; each of these may be out at a server. */
+    @ParameterizedTest
+    @ValueSource(ints = {128, 256, 384, 1024})
+    void eachRequestOfAThirdOfTheDescriptorsFindsAConnection(int sockets) throws Exception {
+        try (Harness harness = new Harness(folder, 250_000, sockets)) {
+            Config config = harness.config();
+            assertTrue(config.serverConnections() >= sockets / 3, "servers");
+            assertTrue(config.clientConnections() >= sockets / 3, "clients");
+            assertTrue(config.settings().limits().open() < sockets / 3, "some are left for the next request");
+            assertTrue(config.serverConnections() + config.clientConnections() + 16 <= sockets, "all");
+        }
+    }
+}
