Go over to a new address of discovery on SIGHUP; rest connections only once clean; bound bad clients

A probe that printed what comes behind answers: 48 second copies and noise came in the read of the answer itself, none within 20 ms on a connection at rest; spoilt heads are all refused by the decoder. At fault: ServerPool.answered, which rested a connection before the rest of that read was decoded. Now an answer is told when all that came with it is read, with word on what is left over; a resting connection is closed by any byte, read once more before it is used, and not used for 20 ms. Discovery has its own bound of 1 MiB. Clients: a whole request within 2 s of connecting, bytes behind a request reject it, a rejected connection is dropped unparsed, codings beside 'chunked' refused.

--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -5,8 +5,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -23,14 +23,15 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -55,18 +56,28 @@
     private static final int BACKLOG = 512;
     private static final RecvByteBufAllocator ONE_AT_A_TIME =
             new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
-    /** A rejected client may go on sending for so long; closing at once could lose the 400. */
-    private static final long LINGER_MILLIS = 1_000;
+    /** From the connection, or from a later request's first byte, to its last one. */
+    private static final long REQUEST_MILLIS = 2_000;
+    /** Without a request in hand, since the last answer. */
+    private static final long IDLE_MILLIS = 5_000;
+    /** An answer that the client does not take in this time is given up. */
+    private static final long WRITE_MILLIS = 5_000;
+    /**
+     * A rejected client may go on sending for so long, or be quiet for so long: closing with bytes unread
+     * resets the connection, and the client could lose the answer.
+     */
+    private static final long LINGER_MILLIS = 5_000;
+    private static final long LINGER_QUIET_MILLIS = 300;
     /** How long new connections go on coming after the end was announced. */
     private static final long ACCEPT_MILLIS = 400;
     /** A new connection has this long to bring its request; as long nothing new may come before the end. */
     private static final long QUIET_MILLIS = 100;
+    private static final long SWEEP_MILLIS = 25;
 
     private final EventLoop loop;
     private final Service service;
     private final int most;
     private final Consumer<String> log;
-    /** Open connections, the one that was answered last at the end. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
     private boolean ending;
@@ -89,10 +100,13 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel c) {
-                        c.pipeline().addLast(new HttpServerCodec(), new Whole(), new Connection(c));
+                        Connection connection = new Connection(c);
+                        c.pipeline().addLast(new Gate(connection), connection.decoder,
+                                new HttpResponseEncoder(), new Whole(connection), connection);
                     }
                 }).bind(address);
         listening = bound.channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -103,12 +117,13 @@
     void end(Runnable ended) {
         loop.schedule(() -> {
             ending = true;
-            sweep(ended);
+            endQuiet(ended);
         }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void sweep(Runnable ended) {
-        List.copyOf(connections).stream().filter(c -> c.client == null && c.age() > QUIET_MILLIS)
+    private void endQuiet(Runnable ended) {
+        List.copyOf(connections).stream()
+                .filter(c -> c.client == null && !c.writing && c.age() > QUIET_MILLIS)
                 .forEach(c -> c.channel.close());
         if (millisSince(acceptedAt) > QUIET_MILLIS) {
             listening.close();
@@ -116,7 +131,7 @@
         if (!listening.isOpen() && connections.isEmpty()) {
             ended.run();
         } else {
-            loop.schedule(() -> sweep(ended), QUIET_MILLIS / 4, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> endQuiet(ended), SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -124,43 +139,94 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
 
-    /** Past the bound a connection that waits for nothing makes room; where all are busy, new ones wait. */
+    /** One look at all connections in place of timers for each, of which a flood would leave thousands. */
+    private void sweep() {
+        for (Connection c : List.copyOf(connections)) {
+            c.checkTimes();
+        }
+        makeRoom();
+    }
+
+    /**
+     * Past the bound a connection that waits for nothing makes room: one that was rejected, one that said
+     * nothing at all, or else the one that was answered the longest time ago. Where all are busy, new ones
+     * wait to be accepted.
+     */
     private void makeRoom() {
-        if (connections.size() < most) {
-            return;
+        Connection victim = null;
+        if (connections.size() >= most) {
+            for (Connection c : connections) {
+                if (c.spare() > (victim == null ? 0 : victim.spare())) {
+                    victim = c;
+                }
+            }
+            if (victim != null) {
+                victim.channel.close();
+            }
         }
-        Iterator<Connection> oldest = connections.iterator();
-        while (oldest.hasNext()) {
-            Connection c = oldest.next();
-            if (c.client == null && c.age() > QUIET_MILLIS) {
-                c.channel.close();
-                return;
+        listening.config().setAutoRead(victim != null || connections.size() < most);
+    }
+
+    /** Shows whether it holds bytes that it has not decoded. */
+    private static final class Decoder extends HttpRequestDecoder {
+        boolean isEmpty() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
+    /** Drops what comes on a rejected connection before anything is spent on it. */
+    private static final class Gate extends ChannelInboundHandlerAdapter {
+        private final Connection connection;
+
+        Gate(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            if (connection.lets()) {
+                context.fireChannelRead(bytes);
+            } else {
+                ReferenceCountUtil.release(bytes);
             }
         }
-        listening.config().setAutoRead(false);
     }
 
     /** Collects whole requests, and ends the connection after one that is too large. */
-    private final class Whole extends HttpObjectAggregator {
+    private static final class Whole extends HttpObjectAggregator {
+        private final Connection connection;
 
-        Whole() {
+        Whole(Connection connection) {
             super(Link.MAX_BODY, true);
+            this.connection = connection;
         }
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            context.pipeline().get(Connection.class)
-                    .reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            connection.reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         }
     }
 
-    /** A client's connection; it carries one request at a time. */
+    /**
+     * A client's connection; it carries one request at a time. A request is taken once all that came with it
+     * has been read: bytes behind it mean that its end is not where it says, or that it is not alone.
+     */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
+        private final Decoder decoder = new Decoder();
         private final long openedAt = System.nanoTime();
         /** Waits for the answer to the request in hand. */
         private Exchange client;
-        private boolean rejected;
+        private FullHttpRequest whole;
+        private boolean more;
+        /** A request is awaited: it is the first, or has begun to come. */
+        private boolean awaited = true;
+        private long awaitedSince = openedAt;
+        private long heardAt;
+        private boolean writing;
+        private long answeredAt;
+        /** Nothing that comes counts any more. */
+        private boolean deaf;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -180,9 +246,28 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
-            if (connections.size() < most) {
-                listening.config().setAutoRead(true);
+            makeRoom();
+            release();
+            giveUp();
+        }
+
+        /** Whether what comes now is to be read. */
+        private boolean lets() {
+            heardAt = System.nanoTime();
+            if (client != null && !deaf) {
+                // Clients send one request at a time. What comes behind can't be told from a wrong length of
+                // the one in hand, which so is no request either.
+                giveUp();
+                reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
+            }
+            if (!deaf && !awaited) {
+                awaited = true;
+                awaitedSince = heardAt;
             }
+            return !deaf;
+        }
+
+        private void giveUp() {
             if (client != null) {
                 Exchange gone = client;
                 client = null;
@@ -190,17 +275,71 @@
             }
         }
 
+        private void checkTimes() {
+            if (client != null) {
+                return;
+            }
+            if (writing) {
+                closeAfter(answeredAt, WRITE_MILLIS);
+            } else if (deaf) {
+                closeAfter(answeredAt, LINGER_MILLIS);
+                closeAfter(Math.max(heardAt, answeredAt), LINGER_QUIET_MILLIS);
+            } else if (!awaited) {
+                closeAfter(answeredAt, IDLE_MILLIS);
+            } else if (heardAt == 0) {
+                closeAfter(awaitedSince, REQUEST_MILLIS);
+            } else if (millisSince(awaitedSince) > REQUEST_MILLIS) {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
+            }
+        }
+
+        private void closeAfter(long since, long millis) {
+            if (millisSince(since) > millis) {
+                channel.close();
+            }
+        }
+
+        /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
+        private double spare() {
+            if (client != null || writing || age() <= QUIET_MILLIS) {
+                return 0;
+            }
+            double kind = deaf ? 3 : heardAt == 0 ? 2 : awaited ? 0 : 1;
+            return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + millisSince(Math.max(openedAt, answeredAt)));
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
-            if (rejected) {
+            if (whole != null) {
+                more = true;
+            } else if (!deaf) {
+                whole = http.retain();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (whole != null) {
+                FullHttpRequest http = whole;
+                whole = null;
+                try {
+                    take(http);
+                } finally {
+                    http.release();
+                }
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private void take(FullHttpRequest http) {
+            if (deaf) {
                 return;
             }
-            if (client != null) {
-                // Clients send one request at a time. An answer out of turn would belong to the wrong one, so
-                // the one in hand is answered, and the connection ends with this one unread.
-                client.keep = false;
+            if (more || !decoder.isEmpty()) {
+                reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
                 return;
             }
+            awaited = false;
             client = new Exchange(HttpUtil.isKeepAlive(http));
             if (http.decoderResult().isSuccess() && http.uri().equals("/healthz")) {
                 client.answer(service.ready() ? HttpResponseStatus.OK
@@ -218,31 +357,39 @@
 
         /** Answers what is no request and ends the connection; what still comes on it is thrown away. */
         private void reject(HttpResponseStatus status, String why) {
-            if (client != null) {
-                client.keep = false;
+            if (deaf) {
                 return;
             }
-            rejected = true;
+            release();
             client = new Exchange(false);
             client.answer(status, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
                     Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8));
         }
 
+        private void release() {
+            if (whole != null) {
+                whole.release();
+                whole = null;
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            if (!channel.isActive() || cause instanceof IOException) {
+                context.close();
+            } else if (client != null) {
                 log.accept("client connection: " + cause);
-                if (client != null) {
-                    client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
-                            Unpooled.EMPTY_BUFFER);
-                }
+                client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
+                        Unpooled.EMPTY_BUFFER);
+                context.close();
+            } else {
+                reject(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             }
-            context.close();
         }
 
         /** One request in hand and its answer; only the first answer counts. */
         private final class Exchange implements Call.Client {
-            private boolean keep;
+            private final boolean keep;
 
             Exchange(boolean keep) {
                 this.keep = keep;
@@ -256,28 +403,25 @@
                 }
                 client = null;
                 // While others wait to be accepted, a connection that stays open and idle shuts them out.
-                boolean last = !keep || ending || !listening.config().isAutoRead();
+                deaf = !keep || ending || !listening.config().isAutoRead();
                 FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                         headers, new DefaultHttpHeaders());
                 HttpUtil.setContentLength(response, content.readableBytes());
-                if (last) {
+                if (deaf) {
                     response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
-                connections.remove(Connection.this);
-                connections.add(Connection.this);
-                ChannelFuture written = channel.writeAndFlush(response);
-                if (rejected) {
-                    written.addListener(f -> linger());
-                } else if (last) {
-                    written.addListener(ChannelFutureListener.CLOSE);
-                } else {
-                    written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-                }
+                writing = true;
+                answeredAt = System.nanoTime();
+                channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
             }
 
-            private void linger() {
-                ((SocketChannel) channel).shutdownOutput();
-                loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            private void written(boolean whole) {
+                writing = false;
+                if (!whole) {
+                    channel.close();
+                } else if (deaf) {
+                    ((SocketChannel) channel).shutdownOutput();
+                }
             }
         }
     }
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -8,6 +8,7 @@
 import java.nio.file.FileSystemException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import larkbank.Json;
@@ -46,6 +47,13 @@
         }
     }
 
+    /** Reads the file of a running sidecar, which is newer than what the environment says of discovery. */
+    static Config reread(Map<String, String> environment) throws IOException {
+        Map<String, String> others = new HashMap<>(environment);
+        others.remove("LB_DISCOVERY");
+        return read(others);
+    }
+
     private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
         if (!(c.get("settings") instanceof Map<?, ?> facts)) {
             throw new IOException("'settings' is missing");
--- a/src/main/java/larkbank/sidecar/Discovery.java
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -39,22 +39,29 @@
     private static final long HOLD_MILLIS = 20_000;
     /** Silence beyond the hold is a dead peer; less than the 2 s after which word counts as told. */
     private static final long SILENCE_MILLIS = 1_000;
+    private static final String PATH = "/v1/servers";
     private static final long CONNECT_MICROS = 1_000_000;
+    /** Largest list: some thousand servers. */
+    private static final int MAX_LIST = 1024 * 1024;
     /** Pause after an answer without news that came early; a watch goes on for 200 ms after an answer. */
     private static final long EARLY_MILLIS = 100;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final ServerList.Reader reader;
     private final Listener listener;
     private final long holdMillis;
     private final Consumer<String> log;
 
+    private InetSocketAddress address;
     private Peer peer;
     private boolean watching;
+    private boolean closed;
+    /** The next answer must be the whole list: the revision of another service says nothing. */
+    private boolean whole;
     private long revision;
     private long askedAt;
     private Future<?> silence;
+    private Future<?> pause;
 
     Discovery(EventLoop loop, InetSocketAddress address, ServerList.Reader reader, long revision,
             Listener listener, Consumer<String> log) {
@@ -81,7 +88,20 @@
         }
     }
 
+    /** Goes on at another address. What the old one still tells no longer counts. */
+    void move(InetSocketAddress to) {
+        if (closed || to.equals(address)) {
+            return;
+        }
+        address = to;
+        whole = true;
+        drop();
+        watching = true;
+        ask();
+    }
+
     void close() {
+        closed = true;
         watching = false;
         drop();
     }
@@ -108,10 +128,15 @@
         ServerList list;
         try {
             list = reader.read(ByteBufUtil.getBytes(answer.content()));
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             fail("a malformed list: " + e.getMessage());
             return;
         }
+        if (whole && !list.complete()) {
+            fail("changes in place of the whole list");
+            return;
+        }
+        whole = false;
         revision = list.revision();
         if (!HttpUtil.isKeepAlive(answer)) {
             drop();
@@ -119,7 +144,7 @@
         boolean early = list.entries().isEmpty()
                 && System.nanoTime() - askedAt < TimeUnit.MILLISECONDS.toNanos(holdMillis / 2);
         if (early) {
-            loop.schedule(this::ask, EARLY_MILLIS, TimeUnit.MILLISECONDS);
+            pause = loop.schedule(this::ask, EARLY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             ask();
         }
@@ -130,6 +155,9 @@
         if (silence != null) {
             silence.cancel(false);
         }
+        if (pause != null) {
+            pause.cancel(false);
+        }
         if (peer != null) {
             Peer old = peer;
             peer = null;
@@ -146,12 +174,13 @@
 
     /** A connection to discovery; once it is dropped, nothing that it still tells counts. */
     private final class Peer implements Link.Owner {
-        private final Link link = new Link(loop, address, CONNECT_MICROS, this);
+        private final Link link = new Link(loop, address, MAX_LIST, CONNECT_MICROS, this);
         private boolean up;
 
         private void send() {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/v1/servers?from=" + revision + "&hold_ms=" + holdMillis, Unpooled.EMPTY_BUFFER);
+                    whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + holdMillis,
+                    Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
             link.send(request);
         }
@@ -168,7 +197,7 @@
         public void written() { }
 
         @Override
-        public void answered(FullHttpResponse answer) {
+        public void answered(FullHttpResponse answer, boolean clean) {
             if (peer == this) {
                 Discovery.this.answered(answer);
             }
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Hangup.java
@@ -0,0 +1,30 @@
+package larkbank.sidecar;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * SIGHUP, which would end the runtime. The platform has no supported interface for signals; the unsupported
+ * one is reached by reflection, since a mention of it in the source is a compiler warning that nothing stops.
+ */
+final class Hangup {
+
+    private Hangup() { }
+
+    /** From now on each SIGHUP runs the task, on a thread of its own. */
+    static void handle(Runnable task) throws ReflectiveOperationException {
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        Class<?> handler = Class.forName("sun.misc.SignalHandler");
+        Object onSignal = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                (self, method, arguments) -> switch (method.getName()) {
+                    case "handle" -> {
+                        task.run();
+                        yield null;
+                    }
+                    case "equals" -> self == arguments[0];
+                    case "hashCode" -> System.identityHashCode(self);
+                    default -> "SIGHUP";
+                });
+        signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), onSignal);
+    }
+}
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -4,19 +4,30 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 
-/** One outgoing HTTP/1.1 connection. It collects whole answers, and tells of its end exactly once. */
+/**
+ * One outgoing HTTP/1.1 connection. It collects whole answers, and tells of its end exactly once.
+ *
+ * <p>An answer belongs to a request only if nothing else was on its way when the request was written. So an
+ * answer is told when all that came with it has been read, with word on whether anything was left over; and a
+ * byte that nobody asked for ends the connection.
+ */
 final class Link {
 
     /** Largest body that is passed on. */
@@ -29,8 +40,11 @@
         /** The last byte of the request has been handed to the network. */
         void written();
 
-        /** A whole answer; the link keeps the reference and releases it on return. */
-        void answered(FullHttpResponse answer);
+        /**
+         * A whole answer; the link keeps the reference and releases it on return. Where more came than the
+         * answer (not clean), the connection is of no further use.
+         */
+        void answered(FullHttpResponse answer, boolean clean);
 
         /** Never came up, broke, or was closed by either side. */
         void closed();
@@ -38,9 +52,19 @@
 
     private final Channel channel;
     private final Owner owner;
+    private final Decoder decoder = new Decoder();
+    /** A request has been sent and its answer not been told. */
+    private boolean asked;
     private boolean down;
 
-    Link(EventLoop loop, InetSocketAddress to, long connectMicros, Owner owner) {
+    /** Shows whether it holds bytes that it has not decoded. */
+    private static final class Decoder extends HttpResponseDecoder {
+        boolean isEmpty() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
+    Link(EventLoop loop, InetSocketAddress to, int maxBody, long connectMicros, Owner owner) {
         this.owner = owner;
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -48,8 +72,8 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel c) {
-                        c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
-                                new Answers());
+                        c.pipeline().addLast(new Gate(), decoder, new HttpRequestEncoder(),
+                                new HttpObjectAggregator(maxBody), new Answers());
                     }
                 }).connect(to);
         channel = connecting.channel();
@@ -71,12 +95,19 @@
         }
     }
 
-    /** Whether it looks alive; a FIN that has not been read yet is not seen. */
+    /**
+     * Whether it is up and clean, seen with all that has come so far: bytes or an end that still wait in the
+     * socket would be taken for the next answer. Not to be called from what this link tells.
+     */
     boolean usable() {
+        if (!asked && channel.isActive() && channel instanceof AbstractNioChannel nio) {
+            nio.unsafe().read();
+        }
         return channel.isActive();
     }
 
     void send(FullHttpRequest request) {
+        asked = true;
         channel.writeAndFlush(request).addListener(f -> {
             if (f.isSuccess()) {
                 owner.written();
@@ -97,24 +128,60 @@
         }
     }
 
+    /** Lets nothing in that was not asked for. */
+    private final class Gate extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            if (asked) {
+                context.fireChannelRead(bytes);
+            } else {
+                ReferenceCountUtil.release(bytes);
+                context.close();
+            }
+        }
+    }
+
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        /** Whole, and told once all is read that came with it. */
+        private FullHttpResponse whole;
+        private boolean more;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (whole != null) {
+                more = true;
+            } else if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                    && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                // One or more of them may go ahead of the answer.
                 return;
-            }
-            // A body that only the end of the connection bounds may be cut short by a dying server: on a
-            // closed channel an answer is not known to be whole.
-            if (answer.decoderResult().isFailure() || !channel.isActive()) {
+            } else if (answer.decoderResult().isFailure() || !channel.isActive()
+                    || answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                // A body that only the end of the connection bounds may be cut short by a dying server: on a
+                // closed channel an answer is not known to be whole. After a change of protocol none comes.
                 context.close();
             } else {
-                owner.answered(answer);
+                whole = answer.retain();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (whole != null) {
+                FullHttpResponse answer = whole;
+                whole = null;
+                asked = false;
+                try {
+                    owner.answered(answer, !more && decoder.isEmpty() && channel.isActive());
+                } finally {
+                    answer.release();
+                }
             }
+            context.fireChannelReadComplete();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            more = true;
             context.close();
         }
     }
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -2,8 +2,11 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +50,7 @@
         if (http.decoderResult().isFailure()) {
             throw new BadRequest("not HTTP");
         }
+        checkFraming(http);
         HttpHeaders headers = http.headers();
         String path = path(http.uri());
         int slash = path.indexOf('/');
@@ -71,6 +75,20 @@
                 client);
     }
 
+    /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
+    private static void checkFraming(FullHttpRequest http) throws BadRequest {
+        List<String> codings = http.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunked = codings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+        if (!codings.isEmpty() && !chunked) {
+            throw new BadRequest("unknown " + HttpHeaderNames.TRANSFER_ENCODING);
+        }
+        if (!http.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !http.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            throw new BadRequest("unknown version");
+        }
+    }
+
     private static String path(String uri) {
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -38,6 +38,9 @@
         void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
     }
 
+    /** A second copy of an answer may come this much later, so for as long a connection is not used again. */
+    static final long SETTLE_MICROS = 20_000;
+
     private final EventLoop loop;
     private final Clock clock;
     private final Listener listener;
@@ -49,13 +52,27 @@
     private final Map<Attempt, Connection> busy = new HashMap<>();
     private int open;
 
+    /** One process at one address; after a restart or a move the same server is another node. */
     private static final class Node {
+        final InetSocketAddress address;
         Server line;
-        InetSocketAddress address;
         /** When the sidecar was told that it drains or is gone; 0 while it is in service. */
         long leavingSince;
+        /** Not on the list any more: nothing new goes to it, and it is forgotten with its connections. */
+        boolean gone;
+        /** Connections of any state. */
+        int connections;
         /** The most recently used last. */
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
+        Node(InetSocketAddress address, Server line) {
+            this.address = address;
+            this.line = line;
+        }
+
+        boolean isFor(ServerList.Entry entry) {
+            return entry.address().equals(address) && entry.server().startMicros() == line.startMicros();
+        }
     }
 
     ServerPool(EventLoop loop, Clock clock, Config config, Listener listener) {
@@ -75,30 +92,39 @@
         long now = clock.micros();
         Set<Long> named = new HashSet<>();
         for (ServerList.Entry entry : list.entries()) {
-            named.add(entry.server().id());
-            Node node = nodes.computeIfAbsent(entry.server().id(), id -> new Node());
-            boolean other = node.line != null && (!entry.address().equals(node.address)
-                    || entry.server().startMicros() != node.line.startMicros());
-            node.line = entry.server();
-            node.address = entry.address();
-            if (other) {
-                closeIdle(node);
+            Server line = entry.server();
+            named.add(line.id());
+            Node node = nodes.get(line.id());
+            if (node != null && !node.isFor(entry)) {
+                leave(node, now);
+                node.gone = true;
+                node = null;
+            }
+            if (node == null) {
+                node = new Node(entry.address(), line);
+                nodes.put(line.id(), node);
+            }
+            node.line = line;
+            node.gone = line.phase() == Phase.REMOVED;
+            if (line.phase() == Phase.READY) {
+                node.leavingSince = 0;
+            } else {
+                leave(node, now);
             }
-            leaving(node, entry.server().phase() != Phase.READY, now);
         }
         if (list.complete()) {
             for (Map.Entry<Long, Node> node : nodes.entrySet()) {
                 if (!named.contains(node.getKey())) {
-                    leaving(node.getValue(), true, now);
+                    leave(node.getValue(), now);
+                    node.getValue().gone = true;
                 }
             }
         }
+        nodes.values().removeIf(n -> n.gone && n.connections == 0);
     }
 
-    private void leaving(Node node, boolean leaving, long now) {
-        if (!leaving) {
-            node.leavingSince = 0;
-        } else if (node.leavingSince == 0) {
+    private static void leave(Node node, long now) {
+        if (node.leavingSince == 0) {
             node.leavingSince = now;
             closeIdle(node);
         }
@@ -112,14 +138,11 @@
     /** Sends an attempt on the connection used last, or on a new one. */
     void start(Attempt attempt) {
         Node node = nodes.get(attempt.server);
-        if (node == null) {
+        if (node == null || node.gone) {
             end(attempt, Result.NOT_SENT, null, null);
             return;
         }
-        Connection connection = node.idle.pollLast();
-        while (connection != null && !connection.link.usable()) {
-            connection = node.idle.pollLast();
-        }
+        Connection connection = pollSettled(node);
         if (connection == null && open >= most && !closeOldestIdle()) {
             // The bound keeps descriptors for clients; past it the attempt never leaves this process.
             end(attempt, Result.NO_CONNECTION, null, null);
@@ -133,6 +156,21 @@
         }
     }
 
+    /** The connection used last of those that have been quiet for long enough, if it is still clean. */
+    private Connection pollSettled(Node node) {
+        long now = clock.micros();
+        for (var latest = node.idle.descendingIterator(); latest.hasNext();) {
+            Connection c = latest.next();
+            if (now - c.idleSince >= SETTLE_MICROS) {
+                latest.remove();
+                if (c.link.usable()) {
+                    return c;
+                }
+            }
+        }
+        return null;
+    }
+
     /** Stops an attempt, which tells the server so, and closes its connection. */
     void abandon(Attempt attempt) {
         Connection connection = busy.remove(attempt);
@@ -202,7 +240,8 @@
         Connection(Node node) {
             this.node = node;
             open++;
-            link = new Link(loop, node.address, connectMicros, this);
+            node.connections++;
+            link = new Link(loop, node.address, Link.MAX_BODY, connectMicros, this);
         }
 
         void take(Attempt next) {
@@ -216,7 +255,8 @@
          */
         void write() {
             long now = clock.micros();
-            boolean late = node.leavingSince != 0 && now - node.leavingSince >= drainGraceMicros;
+            boolean late = node.gone
+                    || node.leavingSince != 0 && now - node.leavingSince >= drainGraceMicros;
             if (attempt.call.over || now >= attempt.giveUpAt || late) {
                 Attempt unsent = attempt;
                 rest();
@@ -241,7 +281,7 @@
         /** Becomes idle, or closes where it will not be used again. */
         private void rest() {
             attempt = null;
-            if (node.leavingSince != 0 || !link.usable()) {
+            if (node.leavingSince != 0) {
                 link.close();
             } else {
                 idleSince = clock.micros();
@@ -263,20 +303,26 @@
             }
         }
 
+        /**
+         * What may throw comes before the attempt is let go: then the end of the connection ends it. An
+         * answer that is there before the request was written is none.
+         */
         @Override
-        public void answered(FullHttpResponse answer) {
-            if (attempt == null) {
+        public void answered(FullHttpResponse answer, boolean clean) {
+            if (attempt == null || !attempt.written) {
                 link.close();
                 return;
             }
+            Result result = result(answer);
+            LoadReport report = LoadReports.parse(answer.headers().get(Headers.LOAD));
             Attempt done = attempt;
-            if (done.written && HttpUtil.isKeepAlive(answer)) {
+            if (clean && HttpUtil.isKeepAlive(answer)) {
                 rest();
             } else {
                 attempt = null;
                 link.close();
             }
-            end(done, result(answer), LoadReports.parse(answer.headers().get(Headers.LOAD)), answer);
+            end(done, result, report, answer);
         }
 
         private static Result result(FullHttpResponse answer) {
@@ -292,7 +338,11 @@
         @Override
         public void closed() {
             open--;
+            node.connections--;
             node.idle.remove(this);
+            if (node.gone && node.connections == 0) {
+                nodes.remove(node.line.id(), node);
+            }
             if (attempt != null) {
                 Attempt lost = attempt;
                 attempt = null;
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -22,6 +23,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import larkbank.Choice;
@@ -89,7 +92,7 @@
         try {
             config = Config.read(environment);
         } catch (IOException e) {
-            log.println("larkbank: " + String.valueOf(e.getMessage()).replaceAll("\\s+", " "));
+            log.println(plain(e));
             return 2;
         }
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -97,6 +100,10 @@
         CountDownLatch ended = new CountDownLatch(1);
         try {
             Sidecar sidecar = loop.submit(() -> new Sidecar(loop, config, log)).get();
+            // One after the other, so that the last file read is the last one taken over.
+            ExecutorService reading = Executors.newSingleThreadExecutor(
+                    new DefaultThreadFactory("reading", true));
+            Hangup.handle(() -> reading.execute(() -> sidecar.reload(environment)));
             sidecar.start().get();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 loop.execute(() -> sidecar.stop(ended::countDown));
@@ -108,12 +115,29 @@
             return 0;
         } catch (InterruptedException e) {
             return 1;
-        } catch (ExecutionException e) {
+        } catch (ExecutionException | ReflectiveOperationException e) {
             log.println("larkbank: cannot start: " + e.getCause());
             return 1;
         }
     }
 
+    private static String plain(Exception e) {
+        return "larkbank: " + String.valueOf(e.getMessage()).replaceAll("\\s+", " ");
+    }
+
+    /**
+     * Reads the configuration again, off the loop, and goes over to the address of discovery in it, which
+     * goes before what the environment said at the start. A file that is wrong anywhere changes nothing.
+     */
+    void reload(Map<String, String> environment) {
+        try {
+            Config next = Config.reread(environment);
+            loop.execute(() -> discovery.move(next.discovery()));
+        } catch (IOException | RuntimeException e) {
+            log.println(plain(e) + "; the old configuration stays");
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
@@ -180,7 +204,7 @@
     private void tell(Event e) {
         try {
             e.told.tell(clock.micros());
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             log("request " + (e.about == null ? "-" : e.about.request.id()) + ": " + failure);
             if (e.about != null) {
                 abort(e.about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -94,6 +94,11 @@
         return result;
     }
 
+    /** Until connections that have just brought an answer may be used again. */
+    private void settle() throws InterruptedException {
+        assertNull(results.poll(2 * ServerPool.SETTLE_MICROS, TimeUnit.MICROSECONDS));
+    }
+
     @Test
     void pastTheBoundThereIsNoConnection() throws Exception {
         Stub server = server(Stub.SILENT);
@@ -159,6 +164,7 @@
         assertEquals(Result.SERVED, result());
         first.reply("200 OK", "", "");
         assertEquals(Result.SERVED, result());
+        settle();
         send(server.port());
         assertEquals(first.socket(), server.take().socket());
     }
--- a/src/test/java/larkbank/sidecar/SidecarTest.java
+++ b/src/test/java/larkbank/sidecar/SidecarTest.java
@@ -183,6 +183,7 @@
         Harness.Client client = sidecar(server).client();
         for (int i = 0; i < 5; i++) {
             assertEquals(200, client.search(2_000).answer().status());
+            LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(2 * ServerPool.SETTLE_MICROS));
         }
         assertEquals(1, server.accepted.get());
     }
