One broken connection is no death: spoilt answers made the whole fleet look cold

A probe printed the module's state twice a second: at 7.3 s all 15 servers stood at a cold share of 0.36 to 0.60 with nothing out and 108 requests held, though discovery had told of no start. Ruled out: the concurrency limits (2 to 4, free), pauses and ejections (none), the pool (136 of 312 connections). At fault: Choice.learn set maybeDead on any BROKEN, and answered() then took the next answer for a return, so each spoilt answer made its server cold for 8.8 s. Now it takes two in a row, or one and a refused connection.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -118,7 +118,8 @@
         double othersInFlight = Double.NaN, use = Double.NaN;
         /** When its connection was last known to work, 0 if never; when a new one may be tried. */
         long usedAt, connectAt, returnedAt;
-        int connectFailures;
+        /** Connections that broke under a request since the last answer; one alone is no death. */
+        int connectFailures, breaks;
         boolean opened, maybeDead;
         /** EWMA of what its answers to each class lack, and when that was last seen. */
         final double[] classFault;
@@ -810,7 +811,7 @@
             case NO_CONNECTION -> {
                 // At its limit, slow to set up, or down: only new connections stay away.
                 setUp(now, 2 * o.elapsedMicros());
-                if (!a.fresh) b.maybeDead = true;
+                if (!a.fresh || b.breaks > 0) b.maybeDead = true;
                 crowded();
                 b.usedAt = 0;
                 double wait = aimMicros * (1 << Math.min(b.connectFailures++, MAX_BACKOFF));
@@ -821,7 +822,10 @@
                 // A client that has no patience says nothing of the server.
                 if (o.result() == Result.TIMED_OUT && o.elapsedMicros() * 2 < HANGING * a.expected) return;
                 if (o.result() == Result.TIMED_OUT && !a.suspected) suspect(now, a, false);
-                if (o.result() == Result.BROKEN) {
+                // A process that dies breaks all its connections and refuses new ones. One alone is a spoilt
+                // answer or a reset, which come from any server alike: taken for deaths and so for restarts,
+                // they made the whole fleet look cold.
+                if (o.result() == Result.BROKEN && ++b.breaks > 1) {
                     b.maybeDead = true;
                     b.usedAt = 0;
                 }
@@ -845,6 +849,7 @@
         b.connectAt = 0;
         if (b.maybeDead) b.returnedAt = now;
         b.maybeDead = false;
+        b.breaks = 0;
         b.failures = 0;
         b.classFault[c] = fault(now, b, c) / 2;
         b.classSeenAt[c] = now;
