Take no answer whose head has a line without a colon

A probe that printed every answer's head: 12 with a line 'no ...' without a colon among those passed on, and 12 requests lost in the same run. At fault: the response decoder's leniency (a name may end with a space, the colon may lack), now closed where it splits names. Ruled out: repeated and negative lengths, status lines, chunk sizes, line ends: all of them refused by the decoder already. Tests for these and for a 101.

--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 
@@ -57,11 +58,20 @@
     private boolean asked;
     private boolean down;
 
-    /** Shows whether it holds bytes that it has not decoded. */
+    /** Shows whether it holds bytes that it has not decoded, and takes no line of a head without a colon. */
     private static final class Decoder extends HttpResponseDecoder {
         boolean isEmpty() {
             return actualReadableBytes() == 0;
         }
+
+        /** In answers, though not in requests, a name may end with a space, and the colon may lack. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (start + length >= line.length || line[start + length] != ':') {
+                throw new IllegalArgumentException("no colon behind a header's name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
     }
 
     Link(EventLoop loop, InetSocketAddress to, int maxBody, long connectMicros, Owner owner) {
--- a/src/test/java/larkbank/sidecar/SidecarTest.java
+++ b/src/test/java/larkbank/sidecar/SidecarTest.java
@@ -85,6 +85,14 @@
         "HTTP/1.1 200 OK\\r\\n\\r\\nends with the connection | true",
         "HTTP/1.1 200 OK\\r\\nContent-Length: 65537\\r\\n\\r\\n | false",
         "no HTTP at all\\r\\n\\r\\n | false",
+        "HTTP/1.1 200 OK\\r\\nno colon\\r\\nContent-Length: 2\\r\\n\\r\\nok | false",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\nContent-Length: 3\\r\\n\\r\\nok | false",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: -1\\r\\n\\r\\n | false",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 3000000000\\r\\n\\r\\n | false",
+        "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\nContent-Length: 2\\r\\n\\r\\n0\\r\\n"
+                + "\\r\\n | false",
+        "HTTP/1.1 101 Other\\r\\nUpgrade: x\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n"
+                + "\\r\\n | false",
         "'' | true",
     })
     void unsafeThatMayHaveRunFails(String text, boolean hangUp) throws Exception {
