Do not cut a server's limit for slow answers while it reports free cores

Ruled out: cold servers (0), pauses (0 to 3), suspects (0), ejections (2, of servers that were slow at the start too). At fault: Choice.limit took each slow answer for a queue. Now not where the report says that half of the cores are free and the limit is small; first limit 3 in place of 2.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -47,7 +47,9 @@
     /** Where the site sets no budget: further attempts as a part of first tries; how many are saved. */
     private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
     /** Own concurrency limit of a server: its start, the part of the aim that cuts it, the cut, the least. */
-    private static final double FIRST_LIMIT = 2, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
+    private static final double FIRST_LIMIT = 3, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
+    /** Reported use from which a slow answer is taken for a queue. */
+    private static final double BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
     private static final double ADMIT_TARGET = 0.8, ADMIT_CUT = 0.7, ADMIT_GAIN = 0.25, ADMIT_LEAST = 0.1;
     /** A server that tells its load is sent what it should answer in time, with this much to spare. */
@@ -928,7 +930,10 @@
         // Many sidecars share few cores: one request of each may be too many; below one, rest between sends.
         b.restUntil = now + (long) (elapsed * (1 / Math.min(1, b.limit) - 1));
         if (elapsed > LIMIT_TARGET * a.of.rules.aimMicros()) {
-            if (a.sentAt >= b.cutAt) {
+            // A server that reports free cores has no queue: what was slow is a new connection, the way or
+            // this process. A limit that is large already is cut all the same, since reports come late.
+            boolean queue = Double.isNaN(b.use) || use(now, b) > BUSY || b.limit > 2 * FIRST_LIMIT;
+            if (a.sentAt >= b.cutAt && queue) {
                 b.limit = Math.max(sparse ? 1 : LIMIT_LEAST, b.limit * LIMIT_CUT);
                 b.cutAt = now;
             }
