--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -48,6 +48,8 @@
     private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
     /** Own concurrency limit of a server: its start, the part of the aim that cuts it, the cut, the least. */
     private static final double FIRST_LIMIT = 3, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
+    /** What cuts it where aims are short: times what is usual, up to that part of the aim. */
+    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6;
     /** Reported use from which a slow answer is taken for a queue. */
     private static final double BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
@@ -120,8 +122,7 @@
         double othersInFlight = Double.NaN, use = Double.NaN;
         /** When its connection was last known to work, 0 if never; when a new one may be tried. */
         long usedAt, connectAt, returnedAt;
-        /** Connections that broke under a request since the last answer; one alone is no death. */
-        int connectFailures, breaks;
+        int connectFailures;
         boolean opened, maybeDead;
         /** EWMA of what its answers to each class lack, and when that was last seen. */
         final double[] classFault;
@@ -813,10 +814,13 @@
             case NO_CONNECTION -> {
                 // At its limit, slow to set up, or down: only new connections stay away.
                 setUp(now, 2 * o.elapsedMicros());
-                if (!a.fresh || b.breaks > 0) b.maybeDead = true;
                 crowded();
                 b.usedAt = 0;
                 double wait = aimMicros * (1 << Math.min(b.connectFailures++, MAX_BACKOFF));
+                // A process that dies refuses connections for a while. Broken ones are spoilt answers, resets
+                // and stale connections too, which come from any server alike: taken for deaths and so for
+                // restarts, they made the whole fleet look cold.
+                if (b.connectFailures > 1) b.maybeDead = true;
                 b.connectAt = now + (long) (wait * (0.75 + random.nextDouble() / 2));
             }
             case CANCELLED, NOT_SENT -> { }
@@ -824,13 +828,6 @@
                 // A client that has no patience says nothing of the server.
                 if (o.result() == Result.TIMED_OUT && o.elapsedMicros() * 2 < HANGING * a.expected) return;
                 if (o.result() == Result.TIMED_OUT && !a.suspected) suspect(now, a, false);
-                // A process that dies breaks all its connections and refuses new ones. One alone is a spoilt
-                // answer or a reset, which come from any server alike: taken for deaths and so for restarts,
-                // they made the whole fleet look cold.
-                if (o.result() == Result.BROKEN && ++b.breaks > 1) {
-                    b.maybeDead = true;
-                    b.usedAt = 0;
-                }
                 if (known(now, b) * a.usual > LIMIT_TARGET * a.of.rules.aimMicros()) crowded();
                 if (a.idle > aimMicros / 4) return;
                 if (o.result() == Result.ERROR) faulty(now, b, c);
@@ -851,7 +848,6 @@
         b.connectAt = 0;
         if (b.maybeDead) b.returnedAt = now;
         b.maybeDead = false;
-        b.breaks = 0;
         b.failures = 0;
         b.classFault[c] = fault(now, b, c) / 2;
         b.classSeenAt[c] = now;
@@ -929,7 +925,9 @@
         Backend b = a.server;
         // Many sidecars share few cores: one request of each may be too many; below one, rest between sends.
         b.restUntil = now + (long) (elapsed * (1 / Math.min(1, b.limit) - 1));
-        if (elapsed > LIMIT_TARGET * a.of.rules.aimMicros()) {
+        double aim = a.of.rules.aimMicros();
+        if (elapsed > Math.min(Math.max(LIMIT_TARGET * aim, LIMIT_USUAL * usualMicros[a.of.requestClass]),
+                LIMIT_MOST * aim)) {
             // A server that reports free cores has no queue: what was slow is a new connection, the way or
             // this process. A limit that is large already is cut all the same, since reports come late.
             boolean queue = Double.isNaN(b.use) || use(now, b) > BUSY || b.limit > 2 * FIRST_LIMIT;
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -167,10 +167,23 @@
         listening.config().setAutoRead(victim != null || connections.size() < most);
     }
 
-    /** Shows whether it holds bytes that it has not decoded. */
+    /** Shows whether it holds a part of a further message. */
     private static final class Decoder extends HttpRequestDecoder {
+        private boolean begun;
+
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) throws Exception {
+            begun = true;
+            return super.createMessage(initialLine);
+        }
+
+        /** A whole message has been handed on; what is decoded from now on is another. */
+        void ended() {
+            begun = false;
+        }
+
         boolean isEmpty() {
-            return actualReadableBytes() == 0;
+            return !begun && actualReadableBytes() == 0;
         }
     }
 
@@ -310,6 +323,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
+            decoder.ended();
             if (whole != null) {
                 more = true;
             } else if (!deaf) {
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -58,10 +59,23 @@
     private boolean asked;
     private boolean down;
 
-    /** Shows whether it holds bytes that it has not decoded, and takes no line of a head without a colon. */
+    /** Shows whether it holds a part of a further message, and takes no line of a head without a colon. */
     private static final class Decoder extends HttpResponseDecoder {
+        private boolean begun;
+
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            begun = true;
+            return super.createMessage(initialLine);
+        }
+
+        /** A whole message has been handed on; what is decoded from now on is another. */
+        void ended() {
+            begun = false;
+        }
+
         boolean isEmpty() {
-            return actualReadableBytes() == 0;
+            return !begun && actualReadableBytes() == 0;
         }
 
         /** In answers, though not in requests, a name may end with a space, and the colon may lack. */
@@ -158,6 +172,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            decoder.ended();
             if (whole != null) {
                 more = true;
             } else if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -314,7 +314,7 @@
                 return;
             }
             Result result = result(answer);
-            LoadReport report = LoadReports.parse(answer.headers().get(Headers.LOAD));
+            LoadReport report = LoadReports.parse(answer.headers().getAll(Headers.LOAD));
             Attempt done = attempt;
             if (clean && HttpUtil.isKeepAlive(answer)) {
                 rest();
--- a/src/test/java/larkbank/RulesTest.java
+++ b/src/test/java/larkbank/RulesTest.java
@@ -13,14 +13,17 @@
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Group;
 import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Outcome;
 import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.ReportSource;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 class RulesTest {
@@ -150,6 +153,46 @@
         return r.sent.stream().skip(before).filter(s -> s.server() == 1).count();
     }
 
+    /** A spoilt answer or a reset now and then made every server look as if it had just started. */
+    @Test
+    void oneBrokenConnectionIsNoRestart() {
+        Recorder r = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 4);
+        long before = sentToFirst(r, "before", 200);
+        boolean broke = false;
+        for (int i = 0; i < 100 && !broke; i++) {
+            r.request("x" + i);
+            broke = r.sent.get(r.sent.size() - 1).server() == 1;
+            r.answer(0, broke ? Result.BROKEN : Result.SERVED, 10_000, true);
+        }
+        assertTrue(broke);
+        r.now += 20_000_000;
+        long after = sentToFirst(r, "after", 200);
+        assertTrue(after >= 0.6 * before, after + " after it, " + before + " before");
+    }
+
+    /** After a start the first answers are slow for other reasons; idle servers were sent next to nothing. */
+    @ParameterizedTest
+    @CsvSource({"0.1, true", "0.9, false"})
+    void slowAnswersCutTheLimitOfBusyServersOnly(double use, boolean kept) {
+        Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
+        Recorder r = new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(),
+                s.classes(), s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(),
+                ReportSource.ANSWERS, s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), 4);
+        LoadReport report = new LoadReport(Double.NaN, Double.NaN, use, Double.NaN, Double.NaN, Double.NaN);
+        for (int i = 0; i < 40; i++) {
+            r.request("a" + i);
+            Recorder.Sent last = r.sent.get(r.sent.size() - 1);
+            r.now += 150_000;
+            r.choice.outcome(r.now, new Outcome(last.request(), 0, last.server(), Result.SERVED, 150_000,
+                    true, report));
+        }
+        int before = r.sent.size();
+        for (int i = 0; i < 100; i++) {
+            r.request("b" + i);
+        }
+        assertEquals(kept, r.sent.size() - before >= 12);
+    }
+
     @Test
     void hangingServerLosesItsTraffic() {
         Recorder r = new Recorder(Recorder.settings(Effect.UNSAFE, Group.ALL), 4);
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -72,6 +72,49 @@
         }
     }
 
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+
+    /** SIGHUP: the file's discovery goes before the environment's, and a wrong file changes nothing. */
+    @Test
+    void hangupGoesOverToTheNewDiscovery() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        try (Stub server = new Stub(Stub.serves("ok")); Stub next = new Stub(Stub.SILENT);
+                Harness harness = new Harness(folder, server)) {
+            ProcessBuilder program = program(harness.file, "127.0.0.1:" + address.getPort());
+            program.environment().put("LB_DISCOVERY", "127.0.0.1:" + harness.discovery.port());
+            Process process = program.start();
+            try (Harness.Client client = connect(address, process)) {
+                harness.discovery.take();
+                String text = Files.readString(harness.file);
+                Files.writeString(harness.file, text.substring(0, text.length() / 2));
+                hangUp(process);
+                assertEquals(200, client.search(2_000).answer().status());
+                Files.writeString(harness.file,
+                        text.replace(":" + harness.discovery.port(), ":" + next.port()));
+                hangUp(process);
+                Stub.Seen asked = next.take();
+                assertEquals("GET /v1/servers HTTP/1.1", asked.request().first());
+                harness.discovery.awaitEnd();
+                // Until the new one has spoken the old list holds.
+                assertEquals(200, client.search(2_000).answer().status());
+                asked.reply("200 OK", "", Harness.json(Harness.list(7, true, "terminating", server)));
+                assertTrue(next.take().request().first().contains("from=7&"));
+                assertEquals(503, client.search(2_000).answer().status());
+                // And back again.
+                Files.writeString(harness.file, text);
+                hangUp(process);
+                assertEquals("GET /v1/servers HTTP/1.1", harness.discovery.take().request().first());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "'' | not a JSON object",
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/RoughTest.java
@@ -0,0 +1,232 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import larkbank.LoadBalancer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Servers that say more than was asked, and clients that say what can't be meant. */
+@Timeout(60)
+class RoughTest {
+
+    private static final String COPY = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    private Stub server(Stub.Script script) throws IOException {
+        Stub stub = new Stub(script);
+        open.add(stub);
+        return stub;
+    }
+
+    private Harness sidecar(Stub... servers) throws Exception {
+        Harness harness = new Harness(folder, servers);
+        open.add(harness);
+        return harness.start();
+    }
+
+    /** Sends a request again as soon as the first has an answer, from inside that very event. */
+    private static final class Chaining extends QuietModule {
+        private final Actions actions;
+        private final List<String> held = new ArrayList<>();
+        private long server;
+
+        Chaining(Actions actions) {
+            this.actions = actions;
+        }
+
+        @Override
+        public void servers(long nowMicros, ListKind kind, List<LoadBalancer.Server> list) {
+            if (!list.isEmpty()) {
+                server = list.get(0).id();
+            }
+        }
+
+        @Override
+        public void request(long nowMicros, LoadBalancer.Request request) {
+            held.add(request.id());
+            if (held.size() == 1) {
+                actions.send(request.id(), server, 0);
+            }
+        }
+
+        @Override
+        public void outcome(long nowMicros, LoadBalancer.Outcome outcome) {
+            if (held.size() == 2 && outcome.requestId().equals(held.get(0))) {
+                actions.send(held.get(1), server, 0);
+            }
+        }
+    }
+
+    /** A second copy or noise right behind an answer was taken for the answer to the next request. */
+    @ParameterizedTest
+    @ValueSource(strings = {COPY + "copy", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
+    void whatComesBehindAnAnswerIsNoAnswer(String behind) throws Exception {
+        Stub server = server(Stub.SILENT);
+        Harness harness = new Harness(folder, server);
+        open.add(harness);
+        harness.start((settings, actions) -> new Chaining(actions));
+        Harness.Client first = harness.client().search(5_000);
+        Stub.Seen one = server.take();
+        Harness.Client second = harness.client().search(5_000);
+        // Rejected once the one before it has been taken, since they are read in turn.
+        assertEquals(400, harness.client().raw("x\r\n\r\n").answer().status());
+        one.raw(COPY + "mine" + behind);
+        assertEquals("mine", first.answer().body());
+        server.take().reply("200 OK", "", "other");
+        assertEquals("other", second.answer().body());
+    }
+
+    @Test
+    void byteOnAnIdleConnectionEndsIt() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        assertEquals(200, sidecar(server).client().search(2_000).answer().status());
+        server.take().raw("x");
+        server.awaitEnd();
+    }
+
+    @Test
+    void answersAheadAreNotTheAnswer() throws Exception {
+        Stub server = server(seen -> {
+            seen.raw("HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 102 On it\r\n\r\n");
+            seen.reply("200 OK", "Server-Load: {\r\nServer-Load: TEXT cpu=0.5\r\n", "ok");
+        });
+        assertEquals("ok", sidecar(server).client().book("x", 2_000).answer().body());
+    }
+
+    /** Nothing of these reaches a server: the end of such a request is not where it says. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "Content-Length: 1\r\n\r\nxx",
+        "Content-Length: 1\r\n\r\nxPOST /book/k HTTP/1.1\r\n",
+        "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+        "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+        "Content-Length: 1, 1\r\n\r\nx",
+        "Content-Length: -1\r\n\r\n",
+        "Content-Length: +1\r\n\r\nx",
+        "Content-Length: 99999999999999999999\r\n\r\n",
+        "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /book/k HTTP/1.1\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\n",
+        "no colon\r\n\r\n",
+    })
+    void requestWithoutAClearEndIsRejected(String rest) throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness.Client client = sidecar(server).client();
+        String head = Harness.Client.head("POST", "/book/k1", 2_000, "", 0);
+        client.raw(head.substring(0, head.length() - 2) + rest);
+        assertEquals(400, client.answer().status());
+        client.assertClosed();
+        assertTrue(server.seen.isEmpty());
+    }
+
+    /** The same for what comes while the request is in hand: its server is told to stop. */
+    @Test
+    void bytesBehindARequestInHandRejectIt() throws Exception {
+        Stub server = server(Stub.SILENT);
+        Harness.Client client = sidecar(server).client().search(2_000);
+        server.take();
+        client.search(2_000);
+        assertEquals(400, client.answer().status());
+        client.assertClosed();
+        server.awaitEnd();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /search/k HTTP/1.1\r\nHost: a\r\n",
+        "POST /book/k HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"})
+    void clientThatDoesNotSendAWholeRequestIsCutOff(String part) throws Exception {
+        Harness.Client client = sidecar(server(Stub.SILENT)).client().raw(part);
+        long since = System.nanoTime();
+        if (!part.isEmpty()) {
+            assertEquals(408, client.answer().status());
+        }
+        client.assertClosed();
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since) < 3_000);
+    }
+
+    /** The answer was lost to a reset where the connection was closed with bytes of the body unread. */
+    @Test
+    void clientThatSendsFarTooMuchCanReadItsRejection() throws Exception {
+        Harness.Client client = sidecar(server(Stub.SILENT)).client();
+        client.raw(Harness.Client.head("POST", "/book/k1", 2_000, "", 32 * 1024 * 1024));
+        byte[] some = new byte[1024 * 1024];
+        for (int i = 0; i < 32; i++) {
+            client.socket.getOutputStream().write(some);
+        }
+        assertEquals(413, client.answer().status());
+        client.assertClosed();
+    }
+
+    /** Silent clients filled the bound, and nothing made room until one of them left by itself. */
+    @Test
+    void silentClientsDoNotShutOutOthers() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = new Harness(folder, 250_000, 128, server);
+        open.add(harness);
+        harness.start();
+        for (int i = 0; i < harness.config().clientConnections() + 20; i++) {
+            harness.client();
+        }
+        long since = System.nanoTime();
+        assertEquals(200, harness.client().search(5_000).answer().status());
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since) < 1_500);
+    }
+
+    @Test
+    void errorInTheModuleIsAnsweredToo() throws Exception {
+        Harness harness = new Harness(folder);
+        open.add(harness);
+        harness.start((settings, actions) -> new QuietModule() {
+            @Override
+            public void request(long nowMicros, LoadBalancer.Request request) {
+                throw new StackOverflowError();
+            }
+        });
+        assertEquals(500, harness.client().search(2_000).answer().status());
+        assertEquals(500, harness.client().search(2_000).answer().status());
+    }
+
+    @Test
+    void longListIsTaken() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = new Harness(folder);
+        open.add(harness);
+        List<Stub> many = new ArrayList<>();
+        for (int i = 0; i < 900; i++) {
+            many.add(server);
+        }
+        String list = Harness.json(Harness.list(2, true, "in_service", many.toArray(new Stub[0])));
+        assertTrue(list.length() > Link.MAX_BODY);
+        harness.discovery.script(seen -> {
+            if (seen.request().first().contains("from=1&")) {
+                seen.reply("200 OK", "", list);
+            }
+        });
+        harness.start();
+        harness.discovery.take();
+        harness.discovery.take();
+        assertEquals(200, harness.client().search(2_000).answer().status());
+    }
+}
