--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -61,6 +61,8 @@
     /** Result that may be spent on probes; probes at once, and rounds of them before a pick. */
     private static final double PROBE_SPEND = 0.012;
     private static final int LOOK_WIDTH = 3, MAX_LOOKS = 4;
+    /** Part of its time for which a request is held at most before a server has it. */
+    private static final double HOLD = 0.45;
     /** Parts of an aim: for which a report is fresh; after which a held request is looked at again. */
     private static final double FRESH = 0.05, HELD_LOOK = 0.125;
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
@@ -164,7 +166,7 @@
     private static final class Pending {
         Request request;
         RequestClass rules;
-        long aimAt, luck;
+        long arrivedAt, aimAt, luck;
         boolean over, streaming, queued, beyondShare;
         int requestClass, tenant, cell, out, looks;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -348,6 +350,7 @@
         p.requestClass = Math.min(Math.max(0, request.requestClass()), usualMicros.length - 1);
         p.rules = settings.classes().get(p.requestClass);
         p.tenant = Math.min(Math.max(0, request.tenant()), tenantCredit.length - 1);
+        p.arrivedAt = now;
         p.aimAt = now + p.rules.aimMicros() + (long) (p.rules.aimStretch() * request.hintMicros());
         if (requests.putIfAbsent(request.id(), p) != null) return;
         if (request.hintMicros() > 0) {
@@ -455,9 +458,16 @@
         later(Math.max(now + 1, Math.min(lastUseful(p), now + (long) (aimMicros * HELD_LOOK))), HELD, p);
     }
 
-    /** Until when a held request may still earn something; after that it is refused, which costs nothing. */
+    /**
+     * Until when a held request may still earn something; after that it is refused, which costs nothing.
+     * Where more than half of the requests that may be in hand are, one that no server may have is refused
+     * before half of its time: its client can still try again, and its connection is free for what is in time.
+     */
     private long lastUseful(Pending p) {
         long end = p.request.deadlineMicros() - 2 * settings.tickMicros();
+        if (mayHaveRun(p) == null && requests.size() > settings.limits().open() / 2) {
+            end = Math.min(end, p.arrivedAt + (long) (HOLD * (p.request.deadlineMicros() - p.arrivedAt)));
+        }
         if (p.rules.lateShare() == 0) end = Math.min(end, p.aimAt - (long) usual(p));
         return end;
     }
--- a/src/test/java/larkbank/RulesTest.java
+++ b/src/test/java/larkbank/RulesTest.java
@@ -18,6 +18,7 @@
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.ReportSource;
 import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
@@ -153,6 +154,25 @@
         return r.sent.stream().skip(before).filter(s -> s.server() == 1).count();
     }
 
+    /** Held to their end, requests kept the connections that clients needed for those still in time. */
+    @Test
+    void whereManyAreInHandTheHeldAreRefusedBeforeHalfOfTheirTime() {
+        Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
+        Recorder r = new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(),
+                List.of(new RequestClass("c", Effect.UNSAFE, Group.ALL, 0, 200_000, 0, 1_000_000, 1, 0.5,
+                        false)),
+                s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(), s.reports(),
+                s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), 4);
+        long arrived = r.now;
+        for (int i = 0; i < 100; i++) {
+            r.request("r" + i);
+        }
+        while (r.now < arrived + 480_000) {
+            r.fireTimers();
+        }
+        assertTrue(r.refused.size() >= 50, r.refused.size() + " refused");
+    }
+
     /** A spoilt answer or a reset now and then made every server look as if it had just started. */
     @Test
     void oneBrokenConnectionIsNoRestart() {
