--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -461,7 +461,8 @@
     /**
      * Until when a held request may still earn something; after that it is refused, which costs nothing.
      * Where more than half of the requests that may be in hand are, one that no server may have is refused
-     * before half of its time: its client can still try again, and its connection is free for what is in time.
+     * before half of its time: its client can still try again, and its connection is free for what is in
+     * time.
      */
     private long lastUseful(Pending p) {
         long end = p.request.deadlineMicros() - 2 * settings.tickMicros();
