Close what has been idle for half a second past half of the clients' bound

Clients that ask once and keep their connection use up what clients may hold; idle ones had 5 s. At fault: ClientServer.checkTimes, IDLE_MILLIS. Test in RoughTest.

--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -31,6 +31,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -59,6 +60,8 @@
     private static final long REQUEST_MILLIS = 2_000;
     /** Without a request in hand, since the last answer. */
     private static final long IDLE_MILLIS = 5_000;
+    /** The same where connections are many. */
+    private static final long SURPLUS_MILLIS = 500;
     /** An answer that the client does not take in this time is given up. */
     private static final long WRITE_MILLIS = 5_000;
     /**
@@ -159,9 +162,25 @@
         for (Connection c : List.copyOf(connections)) {
             c.checkTimes();
         }
+        closeSurplus();
         makeRoom();
     }
 
+    /**
+     * Past half of the bound what has been idle for a while goes, longest first. Some clients ask once and
+     * keep their connection; clients may hold only so many in all, and those that still have something to
+     * ask then find none, though the sidecar and its servers have little to do. Against leaks of connections
+     * in clients and floods of them too. Harm: a client that asks less often connects anew.
+     */
+    private void closeSurplus() {
+        int surplus = connections.size() - most / 2;
+        if (surplus > 0) {
+            connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
+                    .sorted(Comparator.comparingLong(Connection::idleMillis).reversed()).limit(surplus)
+                    .toList().forEach(c -> c.channel.close());
+        }
+    }
+
     /**
      * Past the bound a connection that waits for nothing makes room: one that was rejected, one that said
      * nothing at all, or else the one that was answered the longest time ago. Where all are busy, new ones
@@ -310,6 +329,11 @@
             }
         }
 
+        /** Since its last answer, if it waits for nothing and nothing of a request has come; else 0. */
+        private long idleMillis() {
+            return client != null || writing || deaf || awaited ? 0 : millisSince(answeredAt);
+        }
+
         private void checkTimes() {
             if (client != null) {
                 return;
--- a/src/test/java/larkbank/sidecar/RoughTest.java
+++ b/src/test/java/larkbank/sidecar/RoughTest.java
@@ -228,6 +228,28 @@
         assertTrue(turns.get() < 40, turns + " turns");
     }
 
+    /** Clients that ask once and stay used up what clients may hold, until the usual idle time was over. */
+    @Test
+    void idleClientsPastHalfOfTheBoundAreClosedSoon() throws Exception {
+        Harness harness = new Harness(folder, 250_000, 128, server(Stub.serves("ok")));
+        open.add(harness);
+        harness.start();
+        int half = harness.config().clientConnections() / 2;
+        List<Harness.Client> clients = new ArrayList<>();
+        for (int i = 0; i < half + 5; i++) {
+            clients.add(harness.client().search(5_000));
+            assertEquals(200, clients.get(i).answer().status());
+        }
+        long since = System.nanoTime();
+        for (Harness.Client longest : clients.subList(0, 5)) {
+            longest.assertClosed();
+        }
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since) < 3_000);
+        for (Harness.Client kept : clients.subList(5, clients.size())) {
+            assertEquals(200, kept.search(5_000).answer().status());
+        }
+    }
+
     @Test
     void errorInTheModuleIsAnsweredToo() throws Exception {
         Harness harness = new Harness(folder);
