--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -61,7 +61,7 @@
     /** Without a request in hand, since the last answer. */
     private static final long IDLE_MILLIS = 5_000;
     /** The same where connections are many. */
-    private static final long SURPLUS_MILLIS = 500;
+    private static final long SURPLUS_MILLIS = 200;
     /** An answer that the client does not take in this time is given up. */
     private static final long WRITE_MILLIS = 5_000;
     /**
