--- a/src/main/java/larkbank/sidecar/Addresses.java
+++ b/src/main/java/larkbank/Addresses.java
@@ -1,4 +1,4 @@
-package larkbank.sidecar;
+package larkbank;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
@@ -6,11 +6,11 @@
 import java.net.UnknownHostException;
 
 /** Reads {@code address:port}. There is no DNS, and a look-up would block the loop: literals only. */
-final class Addresses {
+public final class Addresses {
 
     private Addresses() { }
 
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         byte[] address = colon < 0 ? null
                 : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
@@ -30,7 +30,7 @@
         }
     }
 
-    static String text(InetSocketAddress address) {
+    public static String text(InetSocketAddress address) {
         return NetUtil.toSocketAddressString(address);
     }
 }
--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -68,13 +68,16 @@
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
     private static final double LIST_LINES = 8000;
     /** Kinds of timer, in the low bits of their tokens. */
-    private static final int HELD = 0, LOOK = 1, ASK = 2, TIMER_KINDS = 4;
+    private static final int HELD = 0, LOOK = 1, ASK = 2, COPY = 3, TIMER_KINDS = 4;
 
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final double aimMicros, totalShare, rateSpan, probesPerRequest;
     private final boolean anySafe;
+    private Limits limits;
+    /** No server comes any more. */
+    private boolean closing;
 
     private final Map<Long, Backend> backends = new LinkedHashMap<>();
     /** The subset tree: a node is the list of the ready servers that carry all its labels. */
@@ -88,6 +91,8 @@
     private final Map<String, Pending> requests = new HashMap<>();
     private final Map<Long, Pending> timers = new HashMap<>();
     private final List<Pending> held = new ArrayList<>();
+    /** Requests in hand under each of the operators' bounds. */
+    private final Map<String, Integer> bounded = new HashMap<>();
     private long lastToken;
 
     private final double[] usualMicros, tenantCredit, classFaults;
@@ -175,6 +180,7 @@
     public Choice(Settings settings, Actions actions) {
         this.settings = settings;
         this.actions = actions;
+        limits = settings.limits();
         random = new SplittableRandom(settings.seed());
         int classes = settings.classes().size();
         usualMicros = new double[classes];
@@ -196,7 +202,7 @@
         tenantCredit = new double[Math.max(1, settings.tenants().size())];
         Arrays.fill(tenantCredit, SHARE_SLACK);
         rateSpan = 2.0 * Math.max(1, settings.rules().fallMicros());
-        boolean probing = settings.limits().probing() && settings.reports() != ReportSource.NONE;
+        boolean probing = limits.probing() && settings.reports() != ReportSource.NONE;
         probesPerRequest = !probing ? 0 : Math.min(4, PROBE_SPEND / Math.max(settings.probePrice(), 1e-6));
     }
 
@@ -367,7 +373,8 @@
         rate = rate * Math.exp(-(now - rateAt) / rateSpan) + admitted / rateSpan;
         rateAt = now;
         watch(now);
-        if (requests.size() > settings.limits().open()) makeRoom(now, p);
+        if (requests.size() > limits.open()) makeRoom(now, p, null);
+        for (Bound b : request.terms().bounds()) if (count(b, 1) > b.open() && !p.over) makeRoom(now, p, b);
         if (p.over) return;
         if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
             // No time is left for a look or a timer (incident i0f9bed: an arrival at its own deadline).
@@ -383,15 +390,40 @@
     }
 
     /**
-     * Past the most that the instance may have in hand, the held or new request that is worth least is
-     * refused, of equals the oldest: its time is the shortest, and a client that can't get in loses its own.
+     * Past the most that the instance, or the operators under this bound, may have in hand, the held or new
+     * request that is worth least is refused, of equals the oldest: its time is the shortest, and a client
+     * that can't get in loses its own.
      */
-    private void makeRoom(long now, Pending fresh) {
+    private void makeRoom(long now, Pending fresh, Bound within) {
         Pending least = null;
-        for (Pending p : held) if (least == null || value(p) < value(least)) least = p;
+        for (Pending p : held) {
+            if (p != fresh && counts(p, within) && (least == null || value(p) < value(least))) least = p;
+        }
         end(now, least == null || value(fresh) < value(least) ? fresh : least);
     }
 
+    private int count(Bound b, int change) {
+        Integer now = bounded.merge(b.name(), change, (x, y) -> x + y == 0 ? null : x + y);
+        return now == null ? 0 : now;
+    }
+
+    private static boolean counts(Pending p, Bound within) {
+        if (within == null) return true;
+        for (Bound b : p.request.terms().bounds()) if (b.name().equals(within.name())) return true;
+        return false;
+    }
+
+    /** Past the most that may wait, room is made as past the most in hand. */
+    private void boundHeld(long now, Pending fresh) {
+        if (held.size() > limits.held()) makeRoom(now, fresh, null);
+        for (Bound b : fresh.request.terms().bounds()) {
+            if (held.size() <= b.held() || !fresh.queued) continue;
+            int count = 0;
+            for (Pending p : held) if (counts(p, b)) count++;
+            if (count > b.held()) makeRoom(now, fresh, b);
+        }
+    }
+
     private double value(Pending p) {
         return p.rules.worth() * (p.beyondShare ? settings.overShareWorth() : 1);
     }
@@ -447,6 +479,8 @@
         p.queued = true;
         held.add(p);
         pump(now);
+        if (p.queued && closing) end(now, p);
+        else if (p.queued) boundHeld(now, p);
         if (!p.queued) return;
         waitOn(now, p);
         if (now - sheddingLoggedAt < 10 * aimMicros) return;
@@ -466,7 +500,7 @@
      */
     private long lastUseful(Pending p) {
         long end = p.request.deadlineMicros() - 2 * settings.tickMicros();
-        if (mayHaveRun(p) == null && requests.size() > settings.limits().open() / 2) {
+        if (mayHaveRun(p) == null && requests.size() > limits.open() / 2) {
             end = Math.min(end, p.arrivedAt + (long) (HOLD * (p.request.deadlineMicros() - p.arrivedAt)));
         }
         if (p.rules.lateShare() == 0) end = Math.min(end, p.aimAt - (long) usual(p));
@@ -482,8 +516,27 @@
             if (server == null) return;
             held.remove(best);
             best.queued = false;
-            send(now, best, server);
+            send(now, best, server, 0);
+        }
+    }
+
+    /**
+     * A second copy beside what is out, where the operators asked for one: after the time that they set, of a
+     * request that may repeat, to a server that has room, within cap and retry budget as any further attempt.
+     */
+    private void copy(long now, Pending p) {
+        int copies = p.request.terms().copies();
+        if (p.queued || p.out == 0 || p.out > copies || p.rules.effect() == Effect.UNSAFE
+                || p.attempts.size() >= most(p) || !extraAllowed(now)) {
+            return;
         }
+        Backend server = choose(now, p);
+        if (server != null) send(now, p, server, copies);
+    }
+
+    /** Attempts that a request may have: the site's cap, or fewer where the operators say so. */
+    private int most(Pending p) {
+        return Math.max(1, Math.min(limits.attempts(), p.request.terms().attempts()));
     }
 
     // ---- The pick
@@ -570,7 +623,7 @@
 
     /** A connection that was used a moment ago; one idle for longer than those that died is not trusted. */
     private boolean warm(long now, Backend b) {
-        return b.usedAt != 0 && now - b.usedAt < Math.min(trust(now), settings.limits().idleMicros());
+        return b.usedAt != 0 && now - b.usedAt < Math.min(trust(now), limits.idleMicros());
     }
 
     /**
@@ -719,12 +772,11 @@
     }
 
     /** The single place of sending. The checks repeat what the pick has seen, so no path can pass them by. */
-    private void send(long now, Pending p, Backend b) {
+    private void send(long now, Pending p, Backend b, int beside) {
         long left = p.request.deadlineMicros() - now;
 
-        if (p.over || p.streaming || !b.usable || p.out > 0 || !mayRunOn(now, p, b) || left <= 0
-                || p.attempts.size() >= Math.max(1, settings.limits().attempts())
-                || !p.attempts.isEmpty() && !extraAllowed(now)) {
+        if (p.over || p.streaming || !b.usable || p.out > beside || !mayRunOn(now, p, b) || left <= 0
+                || p.attempts.size() >= most(p) || !p.attempts.isEmpty() && !extraAllowed(now)) {
             if (!p.over && p.out == 0) end(now, p);
             return;
         }
@@ -744,7 +796,9 @@
         p.out++;
         b.out.addLast(a);
 
-        actions.send(p.request.id(), b.id, 0);
+        Terms terms = p.request.terms();
+        actions.send(p.request.id(), b.id, terms.attemptMicros());
+        if (terms.copies() > 0 && limits.secondCopies()) later(now + terms.copyAfterMicros(), COPY, p);
     }
 
     /**
@@ -766,8 +820,8 @@
     /** The single place where this instance ends a request. */
     private void end(long now, Pending p) {
         if (mayRefuse(p)) {
-            double stay = settings.limits().retryAdvice() ? aimMicros * (1 + random.nextDouble()) / 4 : 0;
-            actions.refuse(p.request.id(), Math.min((long) stay, settings.limits().maxRetryAdviceMicros()));
+            double stay = limits.retryAdvice() ? aimMicros * (1 + random.nextDouble()) / 4 : 0;
+            actions.refuse(p.request.id(), Math.min((long) stay, limits.maxRetryAdviceMicros()));
         } else {
             actions.fail(p.request.id());
         }
@@ -778,9 +832,10 @@
     private void over(Pending p) {
         if (p.over) return;
         p.over = true;
+        for (Bound b : p.request.terms().bounds()) count(b, -1);
         if (p.queued) held.remove(p);
         p.queued = false;
-        boolean cancel = settings.limits().cancelling();
+        boolean cancel = limits.cancelling();
         for (Attempt a : p.attempts) if (cancel && a.result == null) actions.cancel(p.request.id(), a.number);
         forget(p);
     }
@@ -813,12 +868,17 @@
 
     /** A further attempt, if effect, cap, retry budget and the time left allow it; else the end. */
     private void again(long now, Pending p) {
-        boolean sensible = now < lastUseful(p) && p.attempts.size() < settings.limits().attempts()
-                && (mayRefuse(p) || p.rules.effect() == Effect.KEYED);
+        boolean sensible = now < lastUseful(p) && p.attempts.size() < most(p) && !closing
+                && (mayRefuse(p) || p.rules.effect() == Effect.KEYED) && retryable(p);
         if (sensible && extraAllowed(now)) admit(now, p);
         else end(now, p);
     }
 
+    private static boolean retryable(Pending p) {
+        for (Attempt a : p.attempts) if (!p.request.terms().retryOn().contains(a.result)) return false;
+        return true;
+    }
+
     private void learn(long now, Attempt a, Outcome o) {
         Backend b = a.server;
         int c = a.of.requestClass;
@@ -1049,6 +1109,17 @@
         if (p != null) over(p);
     }
 
+    @Override
+    public void limits(long now, int open, int held) {
+        limits = limits.with(open, held);
+    }
+
+    @Override
+    public void closing(long now) {
+        closing = true;
+        for (Pending p : List.copyOf(held)) end(now, p);
+    }
+
     private void later(long at, int kind, Pending p) {
         long token = ++lastToken * TIMER_KINDS + kind;
         if (p != null) timers.put(token, p);
@@ -1061,7 +1132,9 @@
         if (kind == ASK) actions.subscribe();
         Pending p = timers.remove(token);
         if (p == null || p.over || p.streaming) return;
-        if (kind == LOOK) {
+        if (kind == COPY) {
+            copy(now, p);
+        } else if (kind == LOOK) {
             if (p.looks < MAX_LOOKS && choose(now, p) == null && look(now, p)) {
                 later(now + lookMicros(), LOOK, p);
             } else admit(now, p);
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -1,6 +1,8 @@
 package larkbank;
 
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a load balancer is told and what it answers. One instance belongs to one client process; it is driven
@@ -53,9 +55,42 @@
         }
     }
 
-    /** What the site allows; open is how many requests an instance may have in hand. */
-    record Limits(int attempts, boolean cancelling, boolean probing,
-            boolean retryAdvice, long maxRetryAdviceMicros, long idleMicros, int open) { }
+    /**
+     * What the site allows; open is how many requests an instance may have in hand, held how many of them may
+     * wait for a server.
+     */
+    record Limits(int attempts, boolean cancelling, boolean probing, boolean retryAdvice,
+            long maxRetryAdviceMicros, long idleMicros, int open, int held, boolean secondCopies) {
+        public Limits {
+            require(open >= 0 && held >= 0, "a limit of requests is negative");
+        }
+
+        /** The same with others for the requests in hand and for those of them that wait. */
+        public Limits with(int otherOpen, int otherHeld) {
+            return new Limits(attempts, cancelling, probing, retryAdvice, maxRetryAdviceMicros, idleMicros,
+                    otherOpen, otherHeld, secondCopies);
+        }
+    }
+
+    /** At most so many requests under this name in hand, and so many of them waiting for a server. */
+    record Bound(String name, int open, int held) { }
+
+    /**
+     * What operators set for a request, within what site and class allow: attempts; the time of one (0: what
+     * the request has left); after which results another may follow; how many further copies may be out at
+     * once, and how long after the copy before; bounds that the request counts for.
+     */
+    record Terms(int attempts, long attemptMicros, Set<Result> retryOn, int copies, long copyAfterMicros,
+            List<Bound> bounds) {
+        /** Nothing is set: site and class alone say what holds. */
+        public static final Terms NONE = new Terms(Integer.MAX_VALUE, 0,
+                Set.copyOf(EnumSet.allOf(Result.class)), 0, 0, List.of());
+
+        public Terms {
+            require(attempts >= 1 && attemptMicros >= 0 && copies >= 0 && copyAfterMicros >= 0,
+                    "a request's terms are out of range");
+        }
+    }
 
     /**
      * Figures of the rules on drains, on cold servers and on further attempts: within the look-back at most
@@ -81,6 +116,12 @@
             require(probePrice >= 0 && overShareWorth >= 0, "a price or worth is negative");
             require(tickMicros >= 0, "the tick is negative");
         }
+
+        /** The same with other limits and another way to discovery. */
+        public Settings with(Limits other, boolean asks) {
+            return new Settings(seed, rank, replicas, zone, zones, classes, tenants, overShareWorth,
+                    probePrice, other, rules, reports, asks, warmKeys, tickMicros);
+        }
     }
 
     private static void require(boolean held, String otherwise) {
@@ -92,7 +133,12 @@
 
     /** A request. A key below 0 or a hint of 0 means that there is none. */
     record Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
-            long hintMicros, boolean write) { }
+            long hintMicros, boolean write, Terms terms) {
+        public Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
+                long hintMicros, boolean write) {
+            this(id, requestClass, tenant, repeat, key, deadlineMicros, hintMicros, write, Terms.NONE);
+        }
+    }
 
     /** A server's own word on its load; NaN where it says nothing. */
     record LoadReport(double inFlight, double queue, double utilization, double latencyMillis, double rate,
@@ -142,4 +188,10 @@
     void timer(long nowMicros, long token);
 
     void probed(long nowMicros, long server, Result result, long elapsedMicros, LoadReport report);
+
+    /** Other limits hold for the requests in hand from now on; those taken stay. */
+    default void limits(long nowMicros, int open, int held) { }
+
+    /** No server will come any more: what waits for one is given up, and nothing is tried again. */
+    default void closing(long nowMicros) { }
 }
--- a/src/main/java/larkbank/Main.java
+++ b/src/main/java/larkbank/Main.java
@@ -1,22 +1,27 @@
 package larkbank;
 
+import larkbank.cli.CommandLineTool;
 import larkbank.sidecar.Sidecar;
 import larkbank.simhost.SimHost;
 
-/** Chooses the host of the decision module: the sidecar, or the simulator's adapter. */
+/** Chooses the host of the decision module: the sidecar, the simulator's adapter, or a command. */
 public final class Main {
 
     private Main() { }
 
     public static void main(String[] args) {
+        // The two that run in service do not wait for the command line to be loaded.
         String mode = args.length == 1 ? args[0] : "";
         switch (mode) {
             case "serve" -> System.exit(Sidecar.serve(System.getenv(), System.err));
             case "simhost" -> System.exit(SimHost.serve());
-            default -> {
-                System.err.println("usage: java -jar larkbank.jar serve|simhost");
-                System.exit(2);
-            }
+            case "" -> System.exit(args.length == 0 ? usage() : CommandLineTool.run(args));
+            default -> System.exit(CommandLineTool.run(args));
         }
     }
+
+    private static int usage() {
+        System.err.println("usage: java -jar larkbank.jar serve|simhost|check|explain|help");
+        return 2;
+    }
 }
--- /dev/null
+++ b/src/main/java/larkbank/cli/CheckCommand.java
@@ -0,0 +1,18 @@
+package larkbank.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** {@code check FILE}: says what is wrong with an operators' file. */
+@Command(name = "check", description = "Check an operators' file: exit status 0, or 2 with all reasons.")
+final class CheckCommand implements Callable<Integer> {
+
+    @Mixin
+    private Installed installed;
+
+    @Override
+    public Integer call() {
+        return installed.load() == null ? CommandLineTool.BAD : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/cli/Installed.java
@@ -0,0 +1,43 @@
+package larkbank.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import larkbank.operators.BadFile;
+import larkbank.operators.Operators;
+import larkbank.sidecar.Installation;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** An operators' file, and the configuration that it is held against. */
+final class Installed {
+
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec command;
+
+    @Parameters(paramLabel = "FILE", description = "the operators' file")
+    private Path file;
+
+    @Option(names = "--config", paramLabel = "CONFIG",
+            description = "the sidecar's configuration, whose settings hold (default: LB_CONFIG)")
+    private Path config;
+
+    /** Reads and checks; says on standard error what is wrong, and then gives null. */
+    Operators load() {
+        Map<String, String> environment = new HashMap<>(System.getenv());
+        if (config != null) {
+            environment.put("LB_CONFIG", config.toString());
+        }
+        try {
+            return Operators.load(file, Installation.facts(environment));
+        } catch (BadFile e) {
+            command.commandLine().getErr().println(e.getMessage());
+        } catch (IOException e) {
+            command.commandLine().getErr().println("larkbank: " + e.getMessage());
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/cli/ServeCommand.java
@@ -0,0 +1,20 @@
+package larkbank.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import larkbank.sidecar.Sidecar;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** {@code serve --operators FILE}: a sidecar with an operators' file. */
+@Command(name = "serve", description = "Run a sidecar; LB_CONFIG names its configuration.")
+final class ServeCommand implements Callable<Integer> {
+
+    @Option(names = "--operators", paramLabel = "FILE", description = "the operators' file")
+    private Path operators;
+
+    @Override
+    public Integer call() {
+        return Sidecar.serve(System.getenv(), operators, System.err);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Checks.java
@@ -0,0 +1,357 @@
+package larkbank.operators;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.RequestClass;
+import larkbank.operators.OperatorsFile.ClassSection;
+import larkbank.operators.OperatorsFile.ListenerSection;
+import larkbank.operators.OperatorsFile.PoolSection;
+import larkbank.operators.OperatorsFile.RouteSection;
+import larkbank.route.Overlaps;
+import larkbank.route.PathPattern;
+import larkbank.route.Route;
+import larkbank.route.StaticServer;
+
+/**
+ * What a file means, held against the settings and itself: names that exist, routes that have an order, and
+ * limits under which no rule can break. Nothing is corrected in silence.
+ */
+final class Checks {
+
+    /** Descriptors that the process keeps for itself leave room for so many. */
+    static final int MOST_LISTENERS = 8;
+    private static final PathPattern HEALTH = PathPattern.parse("/healthz");
+
+    private final Facts facts;
+    private final OperatorsFile file;
+    private final Problems problems;
+
+    Checks(Facts facts, OperatorsFile file, Problems problems) {
+        this.facts = facts;
+        this.file = file;
+        this.problems = problems;
+    }
+
+    void run() {
+        listeners();
+        names();
+        order();
+        for (RouteSection route : file.routes()) {
+            if (route.requestClass() != null && route.pool() != null) {
+                facts.requestClass(route.requestClass().value()).ifPresent(c -> limits(route, c));
+            }
+        }
+        shares(LimitKey.MAX_CONNECTIONS, facts.serverConnections(), "descriptors for servers");
+        shares(LimitKey.MAX_REQUESTS, facts.settings().limits().open(), "requests that may be in hand");
+    }
+
+    // ---- Names
+
+    private void listeners() {
+        if (file.listeners().size() > MOST_LISTENERS) {
+            problems.add(file.listeners().get(MOST_LISTENERS).line(), "more than " + MOST_LISTENERS
+                    + " listeners");
+        }
+        List<ListenerSection> seen = new ArrayList<>();
+        for (ListenerSection listener : file.listeners()) {
+            for (ListenerSection other : seen) {
+                if (clash(listener.address(), other.address())) {
+                    problems.add(listener.line(), "listener '" + listener.name() + "' clashes with '"
+                            + other.name() + "' (line " + other.line() + "): both take port "
+                            + other.address().getPort());
+                }
+            }
+            seen.add(listener);
+        }
+    }
+
+    private static boolean clash(InetSocketAddress a, InetSocketAddress b) {
+        return a != null && b != null && a.getPort() == b.getPort() && a.getPort() != 0
+                && (a.getAddress().equals(b.getAddress()) || a.getAddress().isAnyLocalAddress()
+                || b.getAddress().isAnyLocalAddress());
+    }
+
+    private void names() {
+        if (file.routes().isEmpty()) {
+            problems.add(1, "the file has no route, so nothing would be served");
+        }
+        Set<String> pools = new HashSet<>();
+        Set<String> classes = new HashSet<>();
+        for (RouteSection route : file.routes()) {
+            if (route.pool() != null) {
+                pools.add(route.pool().value());
+                exists("pool", route.pool(), file.pools().keySet());
+            }
+            if (route.requestClass() != null) {
+                classes.add(route.requestClass().value());
+                exists("class", route.requestClass(), new HashSet<>(facts.classNames()));
+            }
+        }
+        for (PoolSection pool : file.pools().values()) {
+            if (!pools.contains(pool.name())) {
+                problems.add(pool.line(), "no route uses pool '" + pool.name() + "'");
+            }
+        }
+        for (ClassSection c : file.classes().values()) {
+            if (facts.requestClass(c.name()).isEmpty()) {
+                problems.add(c.line(), "the settings have no class '" + c.name() + "'"
+                        + Words.hint(c.name(), facts.classNames()));
+            } else if (!classes.contains(c.name())) {
+                problems.add(c.line(), "no route has class '" + c.name() + "', so this section does nothing");
+            }
+        }
+    }
+
+    private void exists(String kind, Setting<String> name, Set<String> known) {
+        if (!known.contains(name.value())) {
+            String where = kind.equals("class") ? "the settings have no class '" : "there is no pool '";
+            problems.add(name.line(), where + name.value() + "'" + Words.hint(name.value(), known));
+        }
+    }
+
+    private void order() {
+        Map<String, RouteSection> byName = new HashMap<>();
+        List<Route<RouteSection>> routes = new ArrayList<>();
+        for (RouteSection route : file.routes()) {
+            byName.put(route.name(), route);
+            if (route.match() != null) {
+                if (route.match().path().equals(HEALTH)) {
+                    problems.add(route.line(), "route '" + route.name() + "' is hidden: the sidecar itself"
+                            + " answers " + HEALTH);
+                }
+                routes.add(new Route<>(route.name(), route.match(), route));
+            }
+        }
+        for (Overlaps.Pair pair : Overlaps.of(routes)) {
+            RouteSection route = byName.get(pair.route());
+            RouteSection other = byName.get(pair.other());
+            RouteSection later = pair.hidden() || route.line() > other.line() ? route : other;
+            RouteSection earlier = later == route ? other : route;
+            problems.add(later.line(), pair.hidden()
+                    ? "route '" + later.name() + "' is hidden: '" + earlier.name() + "' (line "
+                            + earlier.line() + ") goes before it and matches all that it matches"
+                    : "routes '" + later.name() + "' and '" + earlier.name() + "' (line " + earlier.line()
+                            + ") match the same requests and neither is more specific; give one a higher"
+                            + " 'priority'");
+        }
+    }
+
+    // ---- Limits
+
+    private void limits(RouteSection route, RequestClass c) {
+        ClassSection own = file.classes().get(c.name());
+        PoolSection pool = file.pools().get(route.pool().value());
+        RouteLimits limits = RouteLimits.of(route, c, own, pool, facts.settings().limits());
+        asked(route, pool);
+        attempts(route, c, own, limits);
+        times(route, c, own, limits);
+        hedges(route, c, pool, limits);
+    }
+
+    /** A route that sets more than its pool gives would not get what it says. */
+    private void asked(RouteSection route, PoolSection pool) {
+        if (pool == null) {
+            return;
+        }
+        for (LimitKey key : LimitKey.OF_ROUTES) {
+            if (key == LimitKey.RETRY_ON) {
+                outcomesAsked(route, pool);
+                continue;
+            }
+            Setting<Long> mine = route.limits().number(key);
+            Setting<Long> bound = pool.limits().number(key);
+            if (mine != null && bound != null && mine.value() > bound.value()) {
+                problems.add(mine.line(), "'" + key.key + "' is " + key.text(mine.value()) + ", and pool '"
+                        + pool.name() + "' allows " + key.text(bound.value()) + " (line " + bound.line()
+                        + ")");
+            }
+        }
+    }
+
+    private void outcomesAsked(RouteSection route, PoolSection pool) {
+        Setting<Set<Retryable>> mine = route.limits().outcomes();
+        Setting<Set<Retryable>> bound = pool.limits().outcomes();
+        for (Retryable outcome : mine == null || bound == null ? Set.<Retryable>of() : mine.value()) {
+            if (!bound.value().contains(outcome)) {
+                problems.add(mine.line(), "'retry_on' has '" + outcome + "', which pool '" + pool.name()
+                        + "' does not allow (line " + bound.line() + ")");
+            }
+        }
+    }
+
+    private void attempts(RouteSection route, RequestClass c, ClassSection own, RouteLimits limits) {
+        int cap = Math.max(1, facts.settings().limits().attempts());
+        PoolSection pool = file.pools().get(route.pool().value());
+        for (LimitSet set : sets(route, own, pool)) {
+            Setting<Long> attempts = set.number(LimitKey.ATTEMPTS);
+            if (attempts != null && attempts.value() > cap) {
+                problems.add(attempts.line(), "'attempts' is " + attempts.value() + "; the settings allow "
+                        + cap);
+            }
+        }
+        // A pool's outcomes only bound what its routes say, so they may name what no class of it allows.
+        Setting<Set<Retryable>> retryOn = route.limits().outcomes() != null || own == null
+                ? route.limits().outcomes() : own.limits().outcomes();
+        for (Retryable outcome : retryOn == null ? Set.<Retryable>of() : retryOn.value()) {
+            if (c.effect() == Effect.UNSAFE && outcome.mayHaveRun()) {
+                problems.add(retryOn.line(), "'retry_on' has '" + outcome + "' for class '" + c.name()
+                        + "', which must never run twice: an attempt that ended so may have run");
+            }
+        }
+        if (c.effect() == Effect.KEYED && retryOn != null && retryOn.value().contains(Retryable.TIMEOUT)
+                && limits.attemptTimeout().inFile()
+                && limits.attemptTimeout().value() >= c.dedupWindowMicros()) {
+            problems.add(limits.attemptTimeout().line(), "'attempt_timeout' is "
+                    + Duration.text(limits.attemptTimeout().value()) + " and servers drop repeats of class '"
+                    + c.name() + "' for " + Duration.text(c.dedupWindowMicros())
+                    + " only: a retry after 'timeout' would come too late");
+        }
+    }
+
+    private static List<LimitSet> sets(RouteSection route, ClassSection own, PoolSection pool) {
+        List<LimitSet> sets = new ArrayList<>(List.of(route.limits()));
+        if (own != null) {
+            sets.add(own.limits());
+        }
+        if (pool != null) {
+            sets.add(pool.limits());
+        }
+        return sets;
+    }
+
+    private void times(RouteSection route, RequestClass c, ClassSection own, RouteLimits limits) {
+        Setting<Long> patience = own == null ? null : own.givesUp();
+        if (patience != null && patience.value() > c.deadlineMicros()) {
+            problems.add(patience.line(), "'client_gives_up' is " + Duration.text(patience.value())
+                    + ", beyond the deadline of class '" + c.name() + "' ("
+                    + Duration.text(c.deadlineMicros()) + ")");
+        }
+        for (Setting<Long> time : List.of(limits.timeout(), limits.attemptTimeout())) {
+            String key = time == limits.timeout() ? "timeout" : "attempt_timeout";
+            if (!time.inFile()) {
+                continue;
+            }
+            if (time.value() > c.deadlineMicros()) {
+                problems.add(time.line(), "'" + key + "' is " + Duration.text(time.value())
+                        + ", beyond the deadline of class '" + c.name() + "' ("
+                        + Duration.text(c.deadlineMicros()) + ")");
+            } else if (patience != null && time.value() > patience.value()) {
+                problems.add(time.line(), "'" + key + "' is " + Duration.text(time.value())
+                        + ", and clients of class '" + c.name() + "' give up after "
+                        + Duration.text(patience.value()) + " (line " + patience.line() + ")");
+            }
+        }
+        used(c, limits);
+    }
+
+    /** Attempts that follow one another need that much time; copies run beside them. */
+    private void used(RequestClass c, RouteLimits limits) {
+        Setting<Long> one = limits.attemptTimeout();
+        long whole = limits.timeout().value();
+        if (one.value() == 0 || Math.max(one.value(), whole) > c.deadlineMicros()) {
+            return;
+        }
+        if (one.value() > whole) {
+            problems.add(limits.timeout().inFile() ? limits.timeout().line() : one.line(), "'timeout' is "
+                    + Duration.text(whole) + ", shorter than one attempt's 'attempt_timeout' of "
+                    + Duration.text(one.value()));
+            return;
+        }
+        long rounds = -Math.floorDiv(-limits.attempts().value(), 1 + limits.hedges().value());
+        if (limits.attempts().inFile() && rounds * one.value() > whole) {
+            int line = limits.timeout().inFile() ? limits.timeout().line() : limits.attempts().line();
+            problems.add(line, "'timeout' is " + Duration.text(whole) + ", and " + limits.attempts().value()
+                    + " attempts of " + Duration.text(one.value()) + " can use "
+                    + Duration.text(rounds * one.value()) + ": the last would be cut short");
+        }
+    }
+
+    private void hedges(RouteSection route, RequestClass c, PoolSection pool, RouteLimits limits) {
+        Setting<Long> hedges = limits.hedges();
+        Setting<Long> after = limits.hedgeAfter();
+        if (hedges.value() == 0) {
+            if (after.inFile() && !hedges.inFile()) {
+                problems.add(after.line(), "'hedge_after' without 'hedges' has no effect");
+            }
+            return;
+        }
+        int line = hedges.line();
+        if (c.effect() == Effect.UNSAFE) {
+            problems.add(line, "'hedges' for class '" + c.name() + "', which must never run twice");
+            return;
+        }
+        if (!facts.settings().limits().secondCopies()) {
+            problems.add(line, "'hedges' is set and the settings allow no second copies");
+        }
+        if (!after.inFile()) {
+            problems.add(line, "'hedges' without 'hedge_after': how long is a copy to wait?");
+            return;
+        }
+        if (limits.attempts().value() < 1 + hedges.value()) {
+            problems.add(line, "'hedges' is " + hedges.value() + ", and 'attempts' leaves room for "
+                    + (limits.attempts().value() - 1));
+        }
+        boolean bounded = limits.attemptTimeout().value() > 0
+                && limits.attemptTimeout().value() < limits.timeout().value();
+        long ends = bounded ? limits.attemptTimeout().value() : limits.timeout().value();
+        if (after.value() >= ends) {
+            problems.add(after.line(), "'hedge_after' is " + Duration.text(after.value())
+                    + ", and an attempt ends after " + Duration.text(ends) + ": no copy would ever go out");
+        }
+        if (c.effect() == Effect.KEYED) {
+            keyedCopies(route, c, pool, limits);
+        }
+    }
+
+    private void keyedCopies(RouteSection route, RequestClass c, PoolSection pool, RouteLimits limits) {
+        Setting<Long> hedges = limits.hedges();
+        Setting<Long> after = limits.hedgeAfter();
+        if (hedges.value() * after.value() >= c.dedupWindowMicros()) {
+            problems.add(after.line(), "the last copy of class '" + c.name() + "' would go out after "
+                    + Duration.text(hedges.value() * after.value()) + ", and servers drop repeats for "
+                    + Duration.text(c.dedupWindowMicros()) + " only");
+        }
+        if (pool == null || pool.servers() == null || c.group() == Group.ALL) {
+            return;
+        }
+        ToIntFunction<StaticServer> group = c.group() == Group.ZONE
+                ? s -> s.zone() == null ? -1 : facts.zones().indexOf(s.zone()) : StaticServer::cell;
+        Map<Integer, Integer> sizes = new LinkedHashMap<>();
+        pool.servers().forEach(s -> sizes.merge(group.applyAsInt(s), 1, Integer::sum));
+        boolean alone = sizes.values().stream().allMatch(n -> n == 1);
+        if (alone || c.group() == Group.ZONE && sizes.containsKey(-1)) {
+            problems.add(hedges.line(), "'hedges' for class '" + c.name() + "' of route '" + route.name()
+                    + "': servers drop repeats within one " + (c.group() == Group.ZONE ? "zone" : "cell")
+                    + ", and pool '" + pool.name() + "' " + (alone ? "has no two servers in one"
+                    : "has servers without one"));
+        }
+    }
+
+    // ---- What all pools share
+
+    private void shares(LimitKey key, long all, String what) {
+        long sum = 0;
+        int open = 0;
+        Setting<Long> last = null;
+        for (PoolSection pool : file.pools().values()) {
+            Setting<Long> set = pool.limits().number(key);
+            sum += set == null ? 0 : set.value();
+            open += set == null ? 1 : 0;
+            last = set == null || last != null && last.line() > set.line() ? last : set;
+        }
+        if (last != null && sum + open > all) {
+            problems.add(last.line(), "'" + key.key + "' of all pools is " + sum
+                    + (open == 0 ? "" : ", and " + open + (open == 1 ? " pool needs" : " pools need")
+                    + " at least 1") + "; there are " + all + " " + what);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Facts.java
@@ -0,0 +1,25 @@
+package larkbank.operators;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import larkbank.LoadBalancer.RequestClass;
+import larkbank.LoadBalancer.Settings;
+
+/**
+ * What a file is checked against: the installation's settings and the process's limits.
+ *
+ * @param serverConnections descriptors for connections to servers
+ * @param listen where it listens if the file names no listener
+ */
+public record Facts(Settings settings, List<String> zones, List<String> models, int serverConnections,
+        InetSocketAddress listen) {
+
+    Optional<RequestClass> requestClass(String name) {
+        return settings.classes().stream().filter(c -> c.name().equals(name)).findFirst();
+    }
+
+    List<String> classNames() {
+        return settings.classes().stream().map(RequestClass::name).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/LimitSet.java
@@ -0,0 +1,31 @@
+package larkbank.operators;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+
+/** The limits that one section sets. */
+final class LimitSet {
+
+    private final Map<LimitKey, Setting<?>> set = new EnumMap<>(LimitKey.class);
+
+    void put(LimitKey key, Setting<?> setting) {
+        set.put(key, setting);
+    }
+
+    Map<LimitKey, Setting<?>> all() {
+        return set;
+    }
+
+    /** A time in microseconds or a count; null where it is not set. */
+    @SuppressWarnings("unchecked")
+    Setting<Long> number(LimitKey key) {
+        return (Setting<Long>) set.get(key);
+    }
+
+    /** The outcomes to retry on; null where they are not set. */
+    @SuppressWarnings("unchecked")
+    Setting<Set<Retryable>> outcomes() {
+        return (Setting<Set<Retryable>>) set.get(LimitKey.RETRY_ON);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -0,0 +1,131 @@
+package larkbank.operators;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.FileSystemException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import larkbank.LoadBalancer.RequestClass;
+import larkbank.operators.OperatorsFile.PoolSection;
+import larkbank.operators.OperatorsFile.RouteSection;
+import larkbank.route.Listener;
+import larkbank.route.Plan;
+import larkbank.route.PoolPlan;
+import larkbank.route.Route;
+import larkbank.route.Router;
+import larkbank.route.Target;
+
+/** An operators' file that was read and checked: what is in force, and where each value came from. */
+public final class Operators {
+
+    private final Facts facts;
+    private final OperatorsFile file;
+    private final Map<String, RouteLimits> limits = new LinkedHashMap<>();
+    private final Plan plan;
+
+    private Operators(Facts facts, OperatorsFile file) {
+        this.facts = facts;
+        this.file = file;
+        List<Route<Target>> routes = new ArrayList<>();
+        for (RouteSection route : file.routes()) {
+            RequestClass c = facts.requestClass(route.requestClass().value()).orElseThrow();
+            RouteLimits own = RouteLimits.of(route, c, file.classes().get(c.name()),
+                    file.pools().get(route.pool().value()), facts.settings().limits());
+            limits.put(route.name(), own);
+            routes.add(new Route<>(route.name(), route.match(), new Target(route.pool().value(),
+                    facts.settings().classes().indexOf(c), own.timeout().value(), own.terms())));
+        }
+        plan = new Plan(listeners(), pools(), new Router<>(routes));
+    }
+
+    /**
+     * Reads and checks a file, all of it even where something is wrong.
+     *
+     * @throws BadFile with every reason, in the order of the lines
+     */
+    public static Operators load(Path path, Facts facts) throws BadFile {
+        Problems problems = new Problems(path.toString());
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (CharacterCodingException e) {
+            problems.add(1, "not UTF-8");
+            throw new BadFile(problems.sorted());
+        } catch (FileSystemException e) {
+            problems.add(1, "can't be read");
+            throw new BadFile(problems.sorted());
+        } catch (IOException e) {
+            problems.add(1, "can't be read: " + e.getMessage());
+            throw new BadFile(problems.sorted());
+        }
+        return load(path.toString(), text, facts);
+    }
+
+    /** The same with the text at hand. */
+    public static Operators load(String name, String text, Facts facts) throws BadFile {
+        Problems problems = new Problems(name);
+        OperatorsFile file = new OperatorsReader(facts, problems).read(text);
+        if (file != null) {
+            new Checks(facts, file, problems).run();
+        }
+        if (!problems.none()) {
+            throw new BadFile(problems.sorted());
+        }
+        return new Operators(facts, file);
+    }
+
+    /** What the sidecar takes over. */
+    public Plan plan() {
+        return plan;
+    }
+
+    Facts facts() {
+        return facts;
+    }
+
+    OperatorsFile file() {
+        return file;
+    }
+
+    RouteLimits limits(String route) {
+        return limits.get(route);
+    }
+
+    private List<Listener> listeners() {
+        if (file.listeners().isEmpty()) {
+            return List.of(new Listener("LB_LISTEN", facts.listen()));
+        }
+        return file.listeners().stream().map(l -> new Listener(l.name(), l.address())).toList();
+    }
+
+    private List<PoolPlan> pools() {
+        List<PoolPlan> pools = new ArrayList<>();
+        for (PoolSection pool : file.pools().values()) {
+            int requests = share(pool, LimitKey.MAX_REQUESTS, facts.settings().limits().open());
+            Setting<Long> queue = pool.limits().number(LimitKey.MAX_QUEUE);
+            pools.add(new PoolPlan(pool.name(), pool.servers(),
+                    share(pool, LimitKey.MAX_CONNECTIONS, facts.serverConnections()), requests,
+                    queue == null ? Integer.MAX_VALUE : queue.value().intValue()));
+        }
+        return pools;
+    }
+
+    /** What a pool sets, or an equal part of what those that set something leave. */
+    private int share(PoolSection of, LimitKey key, int all) {
+        if (of.limits().number(key) != null) {
+            return of.limits().number(key).value().intValue();
+        }
+        long left = all;
+        int open = 0;
+        for (PoolSection pool : file.pools().values()) {
+            Setting<Long> set = pool.limits().number(key);
+            left -= set == null ? 0 : set.value();
+            open += set == null ? 1 : 0;
+        }
+        return (int) Math.max(1, left / open);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -0,0 +1,23 @@
+package larkbank.operators;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import larkbank.route.Match;
+import larkbank.route.StaticServer;
+
+/** A file as it is written: each section with its values and their lines, before anything is compared. */
+record OperatorsFile(List<ListenerSection> listeners, Map<String, PoolSection> pools,
+        Map<String, ClassSection> classes, List<RouteSection> routes) {
+
+    record ListenerSection(String name, int line, InetSocketAddress address) { }
+
+    /** Servers are null where discovery tells them; groups are the lines of their entries. */
+    record PoolSection(String name, int line, List<StaticServer> servers, LimitSet limits) { }
+
+    record ClassSection(String name, int line, LimitSet limits, Setting<Long> givesUp) { }
+
+    /** What could not be read is null; it has been reported. */
+    record RouteSection(String name, int line, Match match, Setting<String> requestClass,
+            Setting<String> pool, LimitSet limits) { }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -0,0 +1,261 @@
+package larkbank.operators;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import larkbank.Addresses;
+import larkbank.operators.OperatorsFile.ClassSection;
+import larkbank.operators.OperatorsFile.ListenerSection;
+import larkbank.operators.OperatorsFile.PoolSection;
+import larkbank.operators.OperatorsFile.RouteSection;
+import larkbank.route.HeaderTest;
+import larkbank.route.HostPattern;
+import larkbank.route.Match;
+import larkbank.route.PathPattern;
+import larkbank.route.StaticServer;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+
+/** Reads the form of a file: TOML 1.0, known keys, types and ranges. What it means is for {@link Checks}. */
+final class OperatorsReader {
+
+    static final long VERSION = 1;
+
+    private static final long MOST_PRIORITY = 1_000;
+    private static final Set<String> SOURCES = Set.of("discovery", "static");
+    private static final Set<String> METHODS = Set.of("GET", "POST");
+    private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
+
+    private final Facts facts;
+    private final Problems problems;
+
+    OperatorsReader(Facts facts, Problems problems) {
+        this.facts = facts;
+        this.problems = problems;
+    }
+
+    /** Null where the text is no TOML. */
+    OperatorsFile read(String text) {
+        TomlParseResult toml = Toml.parse(text);
+        if (toml.hasErrors()) {
+            toml.errors().forEach(e -> problems.add(e.position().line(),
+                    "not TOML: " + e.getMessage().replaceAll("\\s+", " ")));
+            return null;
+        }
+        Section top = new Section(toml, "", 1, problems);
+        Long version = top.count("version", 1, Integer.MAX_VALUE);
+        if (!top.has("version")) {
+            problems.add(1, "the file lacks 'version = " + VERSION + "'");
+        } else if (version != null && version != VERSION) {
+            top.problem("version", "version " + version + " is not known; this program reads version "
+                    + VERSION);
+        }
+        List<ListenerSection> listeners = new ArrayList<>();
+        top.tables("listeners").forEach(s -> listeners.add(listener(s)));
+        Map<String, PoolSection> pools = new LinkedHashMap<>();
+        top.tables("pools").forEach(s -> pools.put(name(s), pool(s)));
+        Map<String, ClassSection> classes = new LinkedHashMap<>();
+        top.tables("classes").forEach(s -> classes.put(name(s), requestClass(s)));
+        List<RouteSection> routes = new ArrayList<>();
+        top.tables("routes").forEach(s -> routes.add(route(s)));
+        top.rejectUnknown();
+        return new OperatorsFile(listeners, pools, classes, routes);
+    }
+
+    private static String name(Section section) {
+        return section.title().substring(section.title().indexOf('.') + 1);
+    }
+
+    private ListenerSection listener(Section section) {
+        InetSocketAddress address = address(section, "address");
+        section.rejectUnknown();
+        return new ListenerSection(name(section), section.line(), address);
+    }
+
+    private static InetSocketAddress address(Section section, String key) {
+        String text = section.required(key);
+        if (text == null) {
+            return null;
+        }
+        try {
+            return Addresses.parse(text);
+        } catch (IllegalArgumentException e) {
+            section.problem(key, e.getMessage() + "; names are not looked up");
+            return null;
+        }
+    }
+
+    private PoolSection pool(Section section) {
+        String source = section.required("source");
+        if (source != null && !SOURCES.contains(source)) {
+            section.problem("source", "no source '" + source + "'; there are discovery and static"
+                    + Words.hint(source, SOURCES));
+        }
+        boolean listed = "static".equals(source);
+        List<StaticServer> servers = null;
+        if (listed) {
+            servers = servers(section);
+        } else if (section.has("servers") && source != null) {
+            section.problem("servers", "a pool with source '" + source + "' names no servers");
+        }
+        LimitSet limits = section.limits(LimitKey.OF_POOLS);
+        if (section.has(LimitKey.HEDGE_AFTER.key)) {
+            section.problem(LimitKey.HEDGE_AFTER.key, "'hedge_after' is set for classes and routes; a pool"
+                    + " only bounds 'hedges'");
+        }
+        section.rejectUnknown();
+        return new PoolSection(name(section), section.line(), servers, limits);
+    }
+
+    private List<StaticServer> servers(Section pool) {
+        List<StaticServer> servers = new ArrayList<>();
+        Map<String, Integer> ids = new HashMap<>();
+        Map<InetSocketAddress, Integer> endpoints = new HashMap<>();
+        List<Section> entries = pool.list("servers");
+        if (entries.isEmpty()) {
+            problems.add(pool.line(), "[" + pool.title() + "] has source 'static' and no 'servers'");
+        }
+        for (Section entry : entries) {
+            String id = entry.required("id");
+            InetSocketAddress endpoint = address(entry, "endpoint");
+            if (endpoint != null && endpoint.getPort() == 0) {
+                entry.problem("endpoint", "port 0 is no server's port");
+            }
+            String zone = known(entry, "zone", facts.zones());
+            String model = known(entry, "model", facts.models());
+            Long cell = entry.count("cell", 0, 1_000_000);
+            Double weight = entry.number("weight", 0.01, 100);
+            entry.rejectUnknown();
+            duplicate(entry, "id", id, ids);
+            duplicate(entry, "endpoint", endpoint, endpoints);
+            if (id != null && endpoint != null) {
+                servers.add(new StaticServer(id, endpoint, zone, model, cell == null ? 0 : cell.intValue(),
+                        weight == null ? 1 : weight));
+            }
+        }
+        return servers;
+    }
+
+    private <T> void duplicate(Section entry, String key, T value, Map<T, Integer> seen) {
+        Integer before = value == null ? null : seen.putIfAbsent(value, entry.lineOf(key));
+        if (before != null) {
+            entry.problem(key, "this " + key + " is another server's already (line " + before + ")");
+        }
+    }
+
+    private static String known(Section entry, String key, List<String> names) {
+        String name = entry.text(key);
+        if (name != null && !names.contains(name)) {
+            entry.problem(key, "the settings have no " + key + " '" + name + "'" + Words.hint(name, names));
+        }
+        return name;
+    }
+
+    private ClassSection requestClass(Section section) {
+        LimitSet limits = section.limits(LimitKey.OF_ROUTES);
+        rejectConnections(section);
+        Long givesUp = section.time("client_gives_up", 1_000, 3_600_000_000L);
+        Setting<Long> patience = givesUp == null ? null : section.setting("client_gives_up", givesUp);
+        section.rejectUnknown();
+        return new ClassSection(name(section), section.line(), limits, patience);
+    }
+
+    private static void rejectConnections(Section section) {
+        if (section.has(LimitKey.MAX_CONNECTIONS.key)) {
+            section.problem(LimitKey.MAX_CONNECTIONS.key,
+                    "connections belong to a pool: set 'max_connections' in [pools.NAME]");
+        }
+    }
+
+    private RouteSection route(Section section) {
+        Match match = match(section);
+        String requestClass = section.required("class");
+        String pool = section.required("pool");
+        LimitSet limits = section.limits(LimitKey.OF_ROUTES);
+        rejectConnections(section);
+        section.rejectUnknown();
+        return new RouteSection(name(section), section.line(), match,
+                requestClass == null ? null : section.setting("class", requestClass),
+                pool == null ? null : section.setting("pool", pool), limits);
+    }
+
+    private Match match(Section section) {
+        HostPattern host = HostPattern.ANY;
+        PathPattern path = null;
+        try {
+            String text = section.text("host");
+            host = text == null ? host : HostPattern.parse(text);
+        } catch (IllegalArgumentException e) {
+            section.problem("host", e.getMessage());
+        }
+        try {
+            String text = section.required("path");
+            path = text == null ? null : PathPattern.parse(text);
+        } catch (IllegalArgumentException e) {
+            section.problem("path", e.getMessage());
+        }
+        Set<String> methods = methods(section);
+        Section headers = section.table("headers");
+        List<HeaderTest> tests = headers == null ? List.of() : headers(headers);
+        Long priority = section.count("priority", -MOST_PRIORITY, MOST_PRIORITY);
+        return path == null ? null
+                : new Match(host, path, methods, tests, priority == null ? 0 : priority.intValue());
+    }
+
+    private static Set<String> methods(Section section) {
+        Set<String> methods = new TreeSet<>();
+        List<String> names = section.texts("methods");
+        if (names != null && names.isEmpty()) {
+            section.problem("methods", "'methods' is empty, so nothing matches; leave it out for any");
+        }
+        for (String name : names == null ? List.<String>of() : names) {
+            if (!METHODS.contains(name)) {
+                section.problem("methods", "no client sends method '" + name + "'; there are GET and POST"
+                        + Words.hint(name, METHODS));
+            }
+            methods.add(name);
+        }
+        return methods;
+    }
+
+    private static List<HeaderTest> headers(Section headers) {
+        List<HeaderTest> tests = new ArrayList<>();
+        Map<String, String> seen = new HashMap<>();
+        for (String name : headers.keys()) {
+            String lower = name.toLowerCase(Locale.ROOT);
+            if (!name.matches(TOKEN)) {
+                headers.problem(name, "there is no header '" + name
+                        + "'; a name is one word (RFC 9110, section 5.1)");
+            } else if (lower.equals("host")) {
+                headers.problem(name, "the host is matched with 'host', not as a header");
+            }
+            String before = seen.put(lower, name);
+            if (before != null) {
+                headers.problem(name, "header '" + name + "' is tested twice");
+            }
+            tests.add(test(headers, name, lower));
+        }
+        headers.rejectUnknown();
+        return List.copyOf(tests);
+    }
+
+    /** {@code Name = "value"}, {@code Name = true} for present, {@code Name = false} for absent. */
+    private static HeaderTest test(Section headers, String name, String lower) {
+        Boolean present = headers.isFlag(name) ? headers.flag(name) : null;
+        if (present != null) {
+            return new HeaderTest(lower, present ? HeaderTest.Kind.PRESENT : HeaderTest.Kind.ABSENT, null);
+        }
+        String value = headers.text(name);
+        if (value != null && (!value.equals(value.trim()) || value.chars().anyMatch(c -> c < ' '))) {
+            headers.problem(name, "no header has a value that begins or ends with a space or has a control"
+                    + " character");
+        }
+        return new HeaderTest(lower, HeaderTest.Kind.EQUAL, value == null ? "" : value);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Problems.java
@@ -0,0 +1,31 @@
+package larkbank.operators;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** All that is wrong with one file: reading goes on, so that operators hear of everything in one go. */
+public final class Problems {
+
+    private final String file;
+    private final Set<Problem> found = new LinkedHashSet<>();
+
+    public Problems(String file) {
+        this.file = file;
+    }
+
+    /** Notes a problem; the same one at the same line counts once. */
+    public void add(int line, String reason) {
+        found.add(new Problem(file, line, reason));
+    }
+
+    public boolean none() {
+        return found.isEmpty();
+    }
+
+    /** In the order of their lines. */
+    public List<Problem> sorted() {
+        return found.stream().sorted(Comparator.comparingInt(Problem::line)).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Retryable.java
@@ -0,0 +1,65 @@
+package larkbank.operators;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Result;
+
+/** Outcomes of an attempt after which another may be made, in the words of the operators' file. */
+public enum Retryable {
+    /** 503 or 504 with {@code Not-Started: 1}. */
+    TURNED_AWAY("turned-away", Result.FULL),
+    /** Refused, never up, broken before the last byte was written, or not sent at all. */
+    NO_CONNECTION("no-connection", Result.NO_CONNECTION, Result.NOT_SENT),
+    /** Any other status but 200. */
+    ERROR("error", Result.ERROR),
+    /** Broken after the last byte was written. */
+    RESET("reset", Result.BROKEN),
+    /** No answer within the attempt's time. */
+    TIMEOUT("timeout", Result.TIMED_OUT);
+
+    private final String word;
+    private final Set<Result> results;
+
+    Retryable(String word, Result... results) {
+        this.word = word;
+        this.results = Set.of(results);
+    }
+
+    /** Whether an attempt that ended so may have run, or may run yet. */
+    boolean mayHaveRun() {
+        return !results.stream().allMatch(r -> r.provesNotRun);
+    }
+
+    static Retryable of(String word) {
+        return Arrays.stream(values()).filter(r -> r.word.equals(word)).findFirst().orElse(null);
+    }
+
+    static List<String> words() {
+        return Arrays.stream(values()).map(r -> r.word).toList();
+    }
+
+    /** All that a class may be tried again after. */
+    static Set<Retryable> allowed(Effect effect) {
+        EnumSet<Retryable> all = EnumSet.allOf(Retryable.class);
+        if (effect == Effect.UNSAFE) {
+            all.removeIf(Retryable::mayHaveRun);
+        }
+        return all;
+    }
+
+    /** In the module's terms. */
+    static Set<Result> results(Collection<Retryable> outcomes) {
+        EnumSet<Result> results = EnumSet.noneOf(Result.class);
+        outcomes.forEach(o -> results.addAll(o.results));
+        return results;
+    }
+
+    @Override
+    public String toString() {
+        return word;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/operators/Section.java
@@ -0,0 +1,248 @@
+package larkbank.operators;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of the file. What is read of it is checked for type and range; a key that nobody asked for is a
+ * problem of its own, with the word that may have been meant.
+ */
+final class Section {
+
+    private final TomlTable table;
+    private final String title;
+    private final int line;
+    private final Problems problems;
+    private final Set<String> known = new TreeSet<>();
+
+    Section(TomlTable table, String title, int line, Problems problems) {
+        this.table = table;
+        this.title = title;
+        this.line = line;
+        this.problems = problems;
+    }
+
+    String title() {
+        return title;
+    }
+
+    int line() {
+        return line;
+    }
+
+    boolean has(String key) {
+        known.add(key);
+        return table.contains(List.of(key));
+    }
+
+    int lineOf(String key) {
+        TomlPosition at = table.inputPositionOf(List.of(key));
+        return at == null ? line : at.line();
+    }
+
+    /** Where a key was set, for people. */
+    private String origin(String key) {
+        return title.isEmpty() ? "line " + lineOf(key) : "[" + title + "], line " + lineOf(key);
+    }
+
+    void problem(String key, String reason) {
+        problems.add(lineOf(key), reason);
+    }
+
+    <T> Setting<T> setting(String key, T value) {
+        return new Setting<>(value, lineOf(key), origin(key));
+    }
+
+    /** The value of a key if it has that type; a problem and null if it has another. */
+    private <T> T value(String key, Class<T> type, String wanted) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null || type.isInstance(value)) {
+            return type.cast(value);
+        }
+        problem(key, "'" + key + "' must be " + wanted);
+        return null;
+    }
+
+    String text(String key) {
+        return value(key, String.class, "a text");
+    }
+
+    String required(String key) {
+        String text = text(key);
+        if (!table.contains(List.of(key))) {
+            problems.add(line, "[" + title + "] lacks '" + key + "'");
+        }
+        return text;
+    }
+
+    boolean isFlag(String key) {
+        return table.get(List.of(key)) instanceof Boolean;
+    }
+
+    Boolean flag(String key) {
+        return value(key, Boolean.class, "true or false");
+    }
+
+    /** A whole number within a range, or null. */
+    Long count(String key, long least, long most) {
+        Long count = value(key, Long.class, "a whole number");
+        if (count != null && (count < least || count > most)) {
+            problem(key, "'" + key + "' is " + count + "; it must be " + least + " to " + most);
+            return null;
+        }
+        return count;
+    }
+
+    /** A number within a range, or null. */
+    Double number(String key, double least, double most) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        double number = value instanceof Number n ? n.doubleValue() : Double.NaN;
+        if (value == null) {
+            return null;
+        }
+        if (!(number >= least && number <= most)) {
+            problem(key, "'" + key + "' must be a number from " + least + " to " + most);
+            return null;
+        }
+        return number;
+    }
+
+    /** Microseconds within a range, or null. */
+    Long time(String key, long least, long most) {
+        String text = value(key, String.class, "a time in quotes, such as \"800ms\" or \"1.5s\"");
+        if (text == null) {
+            return null;
+        }
+        long micros = Duration.micros(text);
+        if (micros < 0) {
+            problem(key, "'" + key + "' is '" + text
+                    + "', which is no time; write a number and us, ms, s or m, such as \"800ms\"");
+            return null;
+        }
+        if (micros < least || micros > most) {
+            problem(key, "'" + key + "' is " + text + "; it must be " + Duration.text(least) + " to "
+                    + Duration.text(most));
+            return null;
+        }
+        return micros;
+    }
+
+    /** A list of texts, or null. */
+    List<String> texts(String key) {
+        TomlArray array = value(key, TomlArray.class, "a list of texts");
+        if (array == null) {
+            return null;
+        }
+        List<String> texts = new ArrayList<>();
+        for (int i = 0; i < array.size(); i++) {
+            if (!(array.get(i) instanceof String text)) {
+                problems.add(array.inputPositionOf(i).line(), "'" + key + "' must be a list of texts");
+                return null;
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
+    /** The tables of a table, by name; the values that are no tables are problems. */
+    List<Section> tables(String key) {
+        TomlTable all = value(key, TomlTable.class, "tables [" + key + ".NAME]");
+        List<Section> sections = new ArrayList<>();
+        if (all == null) {
+            return sections;
+        }
+        for (String name : all.keySet()) {
+            TomlPosition at = all.inputPositionOf(List.of(name));
+            int where = at == null ? lineOf(key) : at.line();
+            if (all.get(List.of(name)) instanceof TomlTable t) {
+                sections.add(new Section(t, key + "." + name, where, problems));
+            } else {
+                problems.add(where, "'" + key + "." + name + "' must be a table [" + key + "." + name + "]");
+            }
+        }
+        return sections;
+    }
+
+    /** A table within this one; null where there is none. */
+    Section table(String key) {
+        TomlTable inner = value(key, TomlTable.class, "a table");
+        return inner == null ? null : new Section(inner, path(key), lineOf(key), problems);
+    }
+
+    /** The tables of a list. */
+    List<Section> list(String key) {
+        TomlArray array = value(key, TomlArray.class, "a list of tables");
+        List<Section> sections = new ArrayList<>();
+        for (int i = 0; array != null && i < array.size(); i++) {
+            if (array.get(i) instanceof TomlTable t) {
+                // The position of an entry that is a table is the list's: its first key says where it stands.
+                int where = t.keySet().stream().mapToInt(k -> t.inputPositionOf(List.of(k)).line()).min()
+                        .orElse(array.inputPositionOf(i).line());
+                sections.add(new Section(t, path(key), where, problems));
+            } else {
+                problems.add(array.inputPositionOf(i).line(), "'" + key + "' must be a list of tables");
+            }
+        }
+        return sections;
+    }
+
+    private String path(String key) {
+        return title.isEmpty() ? key : title + "." + key;
+    }
+
+    Set<String> keys() {
+        return table.keySet();
+    }
+
+    /** Reads the limits that may stand in this section. */
+    LimitSet limits(Set<LimitKey> allowed) {
+        LimitSet limits = new LimitSet();
+        for (LimitKey key : allowed) {
+            Object value = switch (key.kind) {
+                case TIME -> time(key.key, key.least, key.most);
+                case COUNT -> count(key.key, key.least, key.most);
+                case OUTCOMES -> outcomes(key.key);
+            };
+            if (value != null) {
+                limits.put(key, setting(key.key, value));
+            }
+        }
+        return limits;
+    }
+
+    private Set<Retryable> outcomes(String key) {
+        List<String> words = texts(key);
+        if (words == null) {
+            return null;
+        }
+        Set<Retryable> outcomes = EnumSet.noneOf(Retryable.class);
+        for (String word : words) {
+            Retryable outcome = Retryable.of(word);
+            if (outcome == null) {
+                problem(key, "'" + key + "' has no outcome '" + word + "'"
+                        + Words.hint(word, Retryable.words()));
+            } else {
+                outcomes.add(outcome);
+            }
+        }
+        return outcomes;
+    }
+
+    /** To be called last: every key that was not asked for. */
+    void rejectUnknown() {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                String where = title.isEmpty() ? "" : " in [" + title + "]";
+                problem(key, "unknown key '" + key + "'" + where + Words.hint(key, known));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/route/HostName.java
@@ -0,0 +1,75 @@
+package larkbank.route;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The one normal form of a host: lower case, without port and without the dot at the end (RFC 9110, section
+ * 4.2.3; RFC 3986, section 3.2.2).
+ */
+public final class HostName {
+
+    private static final int MAX = 253;
+
+    private HostName() { }
+
+    /**
+     * The host that a request's {@code Host} fields name; the empty text where there is none, which only
+     * HTTP/1.0 allows.
+     *
+     * @param fields the values of all {@code Host} fields of the request
+     * @param required whether one has to be there (RFC 9112, section 3.2)
+     * @throws BadTarget where one lacks, where there are two, or where its text is no host
+     */
+    public static String of(List<String> fields, boolean required) throws BadTarget {
+        if (fields.size() > 1) {
+            throw new BadTarget("more than one Host");
+        }
+        if (fields.isEmpty()) {
+            if (required) {
+                throw new BadTarget("no Host");
+            }
+            return "";
+        }
+        return normal(fields.get(0).trim());
+    }
+
+    /** The normal form of {@code host} or {@code host:port}; the empty text stays empty. */
+    public static String normal(String authority) throws BadTarget {
+        if (authority.isEmpty()) {
+            return "";
+        }
+        int close = authority.startsWith("[") ? authority.indexOf(']') : -1;
+        int colon = authority.indexOf(':', Math.max(0, close));
+        String host = colon < 0 ? authority : authority.substring(0, colon);
+        if (colon >= 0 && !isPort(authority.substring(colon + 1))) {
+            throw new BadTarget("the Host has a bad port");
+        }
+        if (host.endsWith(".")) {
+            host = host.substring(0, host.length() - 1);
+        }
+        if (!isHost(host, close >= 0)) {
+            throw new BadTarget("the Host is no host");
+        }
+        return host.toLowerCase(Locale.ROOT);
+    }
+
+    private static boolean isPort(String text) {
+        if (text.length() > 5 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return false;
+        }
+        return text.isEmpty() || Integer.parseInt(text) <= 65_535;
+    }
+
+    private static boolean isHost(String host, boolean literal) {
+        if (host.isEmpty() || host.length() > MAX || host.startsWith(".") || host.contains("..")) {
+            return false;
+        }
+        if (literal) {
+            return host.length() > 2 && host.endsWith("]") && host.substring(1, host.length() - 1).chars()
+                    .allMatch(c -> Character.digit(c, 16) >= 0 && c < 128 || c == ':' || c == '.');
+        }
+        return host.chars().allMatch(c -> c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+                || c == '-' || c == '.' || c == '_');
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/route/RequestTarget.java
@@ -0,0 +1,144 @@
+package larkbank.route;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Locale;
+
+/**
+ * A request's target in its one normal form (RFC 3986, section 6.2.2; RFC 9112, section 3.2): what is matched
+ * is also what is sent on, so that no spelling reaches a server as another route than the one it was taken
+ * for.
+ *
+ * <p>Escapes of unreserved characters are undone, those that stay have capital digits, {@code .} and
+ * {@code ..} are resolved, slashes in a row are one. What servers read in different ways has no normal form
+ * and is refused: an escaped slash, backslash or NUL, and a path that climbs above its root.
+ *
+ * @param host the host of an absolute-form target, which goes before the {@code Host} field; else null
+ * @param path the normal path, which begins with a slash
+ * @param query from the question mark on, as it came; empty where there is none
+ */
+public record RequestTarget(String host, String path, String query) {
+
+    /** Origin form, as it goes on to a server. */
+    public String text() {
+        return path + query;
+    }
+
+    /**
+     * Reads the target of a request line.
+     *
+     * @throws BadTarget where it is neither in origin nor in absolute form, or has no normal form
+     */
+    public static RequestTarget parse(String target) throws BadTarget {
+        if (target.indexOf('#') >= 0) {
+            throw new BadTarget("the target has a fragment");
+        }
+        String host = null;
+        String rest = target;
+        if (!target.startsWith("/")) {
+            int scheme = target.indexOf("://");
+            String name = scheme < 0 ? "" : target.substring(0, scheme).toLowerCase(Locale.ROOT);
+            if (!name.equals("http") && !name.equals("https")) {
+                throw new BadTarget("the target is neither a path nor an http URI");
+            }
+            rest = target.substring(scheme + 3);
+            int end = firstOf(rest, '/', '?');
+            host = HostName.normal(rest.substring(0, end));
+            if (host.isEmpty()) {
+                throw new BadTarget("the target has no host");
+            }
+            rest = rest.substring(end);
+            rest = rest.startsWith("/") ? rest : "/" + rest;
+        }
+        int query = firstOf(rest, '?', '?');
+        return new RequestTarget(host, normalPath(rest.substring(0, query)), rest.substring(query));
+    }
+
+    private static int firstOf(String text, char one, char other) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) == one || text.charAt(i) == other) {
+                return i;
+            }
+        }
+        return text.length();
+    }
+
+    /** The normal form of a path that begins with a slash. */
+    static String normalPath(String path) throws BadTarget {
+        if (isNormal(path)) {
+            return path;
+        }
+        return withoutDots(unescaped(path));
+    }
+
+    /** Whether nothing has to be done, which holds for most. */
+    private static boolean isNormal(String path) {
+        for (int i = 0; i < path.length(); i++) {
+            char c = path.charAt(i);
+            boolean special = c == '%' || c == '\\' || c <= ' ' || c >= 127
+                    || i > 0 && path.charAt(i - 1) == '/' && (c == '/' || c == '.');
+            if (special) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static String unescaped(String path) throws BadTarget {
+        StringBuilder plain = new StringBuilder(path.length());
+        for (int i = 0; i < path.length(); i++) {
+            char c = path.charAt(i);
+            if (c != '%') {
+                if (c == '\\' || c <= ' ' || c >= 127) {
+                    throw new BadTarget("the path has a character that must be escaped");
+                }
+                plain.append(c);
+                continue;
+            }
+            int high = i + 2 < path.length() ? Character.digit(path.charAt(i + 1), 16) : -1;
+            int low = i + 2 < path.length() ? Character.digit(path.charAt(i + 2), 16) : -1;
+            if (high < 0 || low < 0) {
+                throw new BadTarget("the path has a broken escape");
+            }
+            int code = high * 16 + low;
+            if (code == '/' || code == '\\' || code == 0) {
+                throw new BadTarget("the path has an escaped slash, backslash or NUL");
+            }
+            if (isUnreserved(code)) {
+                plain.append((char) code);
+            } else {
+                plain.append(path.substring(i, i + 3).toUpperCase(Locale.ROOT));
+            }
+            i += 2;
+        }
+        return plain.toString();
+    }
+
+    private static boolean isUnreserved(int c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.'
+                || c == '_' || c == '~';
+    }
+
+    /** Resolves dot segments and joins slashes; a directory keeps its slash at the end. */
+    private static String withoutDots(String path) throws BadTarget {
+        Deque<String> kept = new ArrayDeque<>();
+        String last = "";
+        for (String segment : path.split("/", -1)) {
+            last = segment;
+            if (segment.equals("..")) {
+                if (kept.pollLast() == null) {
+                    throw new BadTarget("the path climbs above its root");
+                }
+            } else if (!segment.isEmpty() && !segment.equals(".")) {
+                kept.addLast(segment);
+            }
+        }
+        StringBuilder normal = new StringBuilder(path.length());
+        for (Iterator<String> segments = kept.iterator(); segments.hasNext();) {
+            normal.append('/').append(segments.next());
+        }
+        boolean directory = last.isEmpty() || last.equals(".") || last.equals("..");
+        return directory || normal.length() == 0 ? normal.append('/').toString() : normal.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/route/Target.java
@@ -0,0 +1,11 @@
+package larkbank.route;
+
+import larkbank.LoadBalancer.Terms;
+
+/**
+ * Where a route's requests go, and under which terms.
+ *
+ * @param requestClass its place among the classes of the settings
+ * @param timeoutMicros for the whole request; the client's own time holds where it is shorter
+ */
+public record Target(String pool, int requestClass, long timeoutMicros, Terms terms) { }
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -20,6 +20,8 @@
     }
 
     final Request request;
+    /** The one that it was given to, also where its route leads elsewhere by now. */
+    final Pool pool;
     final HttpMethod method;
     final String uri;
     final HttpHeaders headers;
@@ -30,10 +32,14 @@
     int out;
     /** Nothing is owed any more: it has its one answer, or the client has left. */
     boolean over;
+    /** Nothing of it is left: it is over and its attempts have ended. */
+    boolean forgotten;
     Future<?> expiry;
 
-    Call(Request request, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Client client) {
+    Call(Request request, Pool pool, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
+            Client client) {
         this.request = request;
+        this.pool = pool;
         this.method = method;
         this.uri = uri;
         this.headers = headers;
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -0,0 +1,336 @@
+package larkbank.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A client's connection; it carries one request at a time. A request is taken once all that came with it
+ * has been read: bytes behind it mean that its end is not where it says, or that it is not alone.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    /** From the connection, or from a later request's first byte, to its last one. */
+    private static final long REQUEST_MILLIS = 2_000;
+    /** Without a request in hand, since the last answer. */
+    private static final long IDLE_MILLIS = 5_000;
+    /** An answer that the client does not take in this time is given up. */
+    private static final long WRITE_MILLIS = 5_000;
+    /**
+     * A rejected client may go on sending for so long, or be quiet for so long: closing with bytes unread
+     * resets the connection, and the client could lose the answer.
+     */
+    private static final long LINGER_MILLIS = 5_000;
+    private static final long LINGER_QUIET_MILLIS = 300;
+
+    private final ClientServer server;
+    private final ClientServer.Door door;
+    private final Channel channel;
+    private final Decoder decoder = new Decoder();
+    private final long openedAt = System.nanoTime();
+    /** Waits for the answer to the request in hand. */
+    private Exchange client;
+    private FullHttpRequest whole;
+    private boolean more;
+    /** A request is awaited: it is the first, or has begun to come. */
+    private boolean awaited = true;
+    private long awaitedSince = openedAt;
+    private long heardAt;
+    private boolean writing;
+    private long answeredAt;
+    /** Nothing that comes counts any more. */
+    private boolean deaf;
+
+    ClientConnection(ClientServer server, ClientServer.Door door, Channel channel) {
+        this.server = server;
+        this.door = door;
+        this.channel = channel;
+    }
+
+    /** The front's pipeline. */
+    void begin() {
+        channel.pipeline().addLast(new Gate(this), decoder, new HttpResponseEncoder(), new Whole(this), this);
+    }
+
+    ClientServer.Door door() {
+        return door;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Whether nothing is owed on it, and it is older than that. */
+    boolean quiet(long millis) {
+        return client == null && !writing && age() > millis;
+    }
+
+    private long age() {
+        return ClientServer.millisSince(openedAt);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        server.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        server.closed(this);
+        release();
+        giveUp();
+    }
+
+    /** Whether what comes now is to be read. */
+    private boolean lets() {
+        heardAt = System.nanoTime();
+        if (client != null && !deaf) {
+            // Clients send one request at a time. What comes behind can't be told from a wrong length of
+            // the one in hand, which so is no request either.
+            giveUp();
+            reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
+        }
+        if (!deaf && !awaited) {
+            awaited = true;
+            awaitedSince = heardAt;
+        }
+        return !deaf;
+    }
+
+    private void giveUp() {
+        if (client != null) {
+            Exchange gone = client;
+            client = null;
+            server.service().left(gone);
+        }
+    }
+
+    /** Since its last answer, if it waits for nothing and nothing of a request has come; else 0. */
+    long idleMillis() {
+        return client != null || writing || deaf || awaited ? 0 : ClientServer.millisSince(answeredAt);
+    }
+
+    void checkTimes() {
+        if (client != null) {
+            return;
+        }
+        if (writing) {
+            closeAfter(answeredAt, WRITE_MILLIS);
+        } else if (deaf) {
+            closeAfter(answeredAt, LINGER_MILLIS);
+            closeAfter(Math.max(heardAt, answeredAt), LINGER_QUIET_MILLIS);
+        } else if (!awaited) {
+            closeAfter(answeredAt, IDLE_MILLIS);
+        } else if (heardAt == 0) {
+            closeAfter(awaitedSince, REQUEST_MILLIS);
+        } else if (ClientServer.millisSince(awaitedSince) > REQUEST_MILLIS) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
+        }
+    }
+
+    private void closeAfter(long since, long millis) {
+        if (ClientServer.millisSince(since) > millis) {
+            channel.close();
+        }
+    }
+
+    /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
+    double spare() {
+        if (client != null || writing || age() <= ClientServer.QUIET_MILLIS) {
+            return 0;
+        }
+        double kind = deaf ? 3 : heardAt == 0 ? 2 : awaited ? 0 : 1;
+        long idle = ClientServer.millisSince(Math.max(openedAt, answeredAt));
+        return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + idle);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
+        decoder.ended();
+        if (whole != null) {
+            more = true;
+        } else if (!deaf) {
+            whole = http.retain();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (whole != null) {
+            FullHttpRequest http = whole;
+            whole = null;
+            try {
+                take(http);
+            } finally {
+                http.release();
+            }
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void take(FullHttpRequest http) {
+        if (deaf) {
+            return;
+        }
+        if (more || !decoder.isEmpty()) {
+            reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
+            return;
+        }
+        awaited = false;
+        client = new Exchange(HttpUtil.isKeepAlive(http));
+        if (http.decoderResult().isSuccess() && http.uri().equals("/healthz")) {
+            client.answer(server.service().ready() ? HttpResponseStatus.OK
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(),
+                    Unpooled.EMPTY_BUFFER);
+            return;
+        }
+        try {
+            server.service().take(http, client);
+        } catch (RequestReader.BadRequest e) {
+            client = null;
+            reject(e.status(), e.getMessage());
+        }
+    }
+
+    /** Answers what is no request and ends the connection; what still comes on it is thrown away. */
+    private void reject(HttpResponseStatus status, String why) {
+        if (deaf) {
+            return;
+        }
+        release();
+        client = new Exchange(false);
+        client.answer(status, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
+                Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8));
+    }
+
+    private void release() {
+        if (whole != null) {
+            whole.release();
+            whole = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!channel.isActive() || cause instanceof IOException) {
+            context.close();
+        } else if (client != null) {
+            server.log("client connection: " + cause);
+            client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
+                    Unpooled.EMPTY_BUFFER);
+            context.close();
+        } else {
+            reject(HttpResponseStatus.BAD_REQUEST, "not HTTP");
+        }
+    }
+
+    /** One request in hand and its answer; only the first answer counts. */
+    private final class Exchange implements Call.Client {
+        private final boolean keep;
+
+        Exchange(boolean keep) {
+            this.keep = keep;
+        }
+
+        @Override
+        public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+            if (client != this) {
+                content.release();
+                return;
+            }
+            client = null;
+            deaf = !keep || server.endsAfterAnswer(door);
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
+                    headers, new DefaultHttpHeaders());
+            HttpUtil.setContentLength(response, content.readableBytes());
+            if (deaf) {
+                response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            }
+            writing = true;
+            answeredAt = System.nanoTime();
+            channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
+        }
+
+        private void written(boolean whole) {
+            writing = false;
+            if (!whole) {
+                channel.close();
+            } else if (deaf) {
+                ((SocketChannel) channel).shutdownOutput();
+            }
+        }
+    }
+
+    /** Shows whether it holds a part of a further message. */
+    private static final class Decoder extends HttpRequestDecoder {
+        private boolean begun;
+
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) throws Exception {
+            begun = true;
+            return super.createMessage(initialLine);
+        }
+
+        /** A whole message has been handed on; what is decoded from now on is another. */
+        void ended() {
+            begun = false;
+        }
+
+        boolean isEmpty() {
+            return !begun && actualReadableBytes() == 0;
+        }
+    }
+
+    /** Drops what comes on a rejected connection before anything is spent on it. */
+    private static final class Gate extends ChannelInboundHandlerAdapter {
+        private final ClientConnection connection;
+
+        Gate(ClientConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            if (connection.lets()) {
+                context.fireChannelRead(bytes);
+            } else {
+                ReferenceCountUtil.release(bytes);
+            }
+        }
+    }
+
+    /** Collects whole requests, and ends the connection after one that is too large. */
+    private static final class Whole extends HttpObjectAggregator {
+        private final ClientConnection connection;
+
+        Whole(ClientConnection connection) {
+            super(Link.MAX_BODY, true);
+            this.connection = connection;
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            connection.reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+        }
+    }
+}
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -11,10 +11,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import larkbank.Addresses;
 import larkbank.Json;
 import larkbank.LoadBalancer.Limits;
 import larkbank.LoadBalancer.Settings;
 import larkbank.SettingsReader;
+import larkbank.operators.Facts;
 
 /** What one sidecar is told at its start. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
@@ -56,12 +58,13 @@
 
     /** The same with other servers, which nothing has to be asked for, and within other descriptors. */
     Config with(int otherSockets, ServerList servers) {
-        Settings s = settings;
-        Settings pushed = new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(),
-                s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(), s.reports(), false,
-                s.warmKeys(), s.tickMicros());
-        return new Config(name, listen, discovery, otherSockets, pushed, connectMicros, drainGraceMicros,
-                servers, lists);
+        return new Config(name, listen, discovery, otherSockets, settings.with(settings.limits(), false),
+                connectMicros, drainGraceMicros, servers, lists);
+    }
+
+    /** What an operators' file is checked against. */
+    Facts facts() {
+        return new Facts(settings, lists.zones(), lists.models(), serverConnections(), listen);
     }
 
     private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
@@ -95,10 +98,8 @@
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                Math.min(l.open(), sockets / 3 / 8 * 7));
-        return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
-                s.overShareWorth(), s.probePrice(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
-                s.warmKeys(), s.tickMicros());
+                Math.min(l.open(), sockets / 3 / 8 * 7), l.held(), l.secondCopies());
+        return s.with(kept, s.discoveryOnAsk());
     }
 
     private static String text(Map<?, ?> c, String name, String first) throws IOException {
--- a/src/main/java/larkbank/sidecar/Discovery.java
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkbank.Addresses;
 
 /**
  * Watches the list of servers. Once asked, the watch goes on by itself; when it fails it stops, and it is the
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -0,0 +1,45 @@
+package larkbank.sidecar;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import larkbank.LoadBalancer;
+import larkbank.LoadBalancer.Actions;
+import larkbank.LoadBalancer.Settings;
+
+/** The addresses, routes and pools of a sidecar; what an operators' file may change. */
+interface Layout {
+
+    /** What a layout is made with. */
+    record Parts(Config config, Pool.Shared shared, BiFunction<Settings, Actions, LoadBalancer> modules,
+            RequestReader reader, ClientServer clients) { }
+
+    /** A file that was read and found good, before it holds. */
+    interface Change {
+        /** Takes it over, on the loop; the future fails where that can't be, and then nothing has changed. */
+        CompletableFuture<Void> take();
+    }
+
+    /** Hands each pool its first list. */
+    void open();
+
+    /** Opens the doors; gives the first address once clients can connect to all. */
+    CompletableFuture<InetSocketAddress> listen();
+
+    /** The way of a request, or why it has none. */
+    Way way(FullHttpRequest http) throws RequestReader.BadRequest;
+
+    /** Whether a request would find a server in some pool. */
+    boolean ready();
+
+    /** The pools whose servers discovery tells. */
+    Collection<Pool> discovered();
+
+    /** Reads again what it was made of; to be called off the loop. */
+    Change reread() throws IOException;
+
+    void close();
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -0,0 +1,209 @@
+package larkbank.sidecar;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
+import larkbank.LoadBalancer.Settings;
+import larkbank.operators.BadFile;
+import larkbank.operators.Operators;
+import larkbank.route.Listener;
+import larkbank.route.Plan;
+import larkbank.route.PoolPlan;
+import larkbank.route.StaticServer;
+
+/** What an operators' file says: its addresses, its routes, and a pool with a module of its own for each. */
+final class OperatorsLayout implements Layout {
+
+    private final Parts parts;
+    private final Path file;
+    private final Map<String, Member> pools = new LinkedHashMap<>();
+    /** Pools of an earlier file whose last requests are still in hand. */
+    private final Set<Pool> going = new HashSet<>();
+    /** By the address as the file has it, whose port may be 0. */
+    private final Map<InetSocketAddress, ClientServer.Door> doors = new LinkedHashMap<>();
+    private Plan plan;
+    private OperatorsRouting routing;
+
+    private record Member(Pool pool, boolean discovered) { }
+
+    private OperatorsLayout(Parts parts, Path file, Plan plan) {
+        this.parts = parts;
+        this.file = file;
+        this.plan = plan;
+        plan.pools().forEach(p -> pools.put(p.name(), create(p)));
+        routing = route(plan);
+    }
+
+    /** Reads the file; the layout is made later, on the loop. */
+    static Sidecar.Arrangement of(Path file, Config config) throws IOException {
+        Plan plan = read(file, config);
+        return new Sidecar.Arrangement(parts -> new OperatorsLayout(parts, file, plan),
+                plan.listeners().get(0).address());
+    }
+
+    private static Plan read(Path file, Config config) throws IOException {
+        try {
+            return Operators.load(file, config.facts()).plan();
+        } catch (BadFile e) {
+            throw new OperatorsRejected(e);
+        }
+    }
+
+    private Member create(PoolPlan p) {
+        Config config = parts.config();
+        Settings settings = config.settings().with(
+                config.settings().limits().with(p.requests(), p.queue()),
+                p.discovered() && config.settings().discoveryOnAsk());
+        return new Member(new Pool(parts.shared(), config, settings, p.connections(), parts.modules()),
+                p.discovered());
+    }
+
+    private OperatorsRouting route(Plan next) {
+        Map<String, Pool> byName = new LinkedHashMap<>();
+        pools.forEach((name, member) -> byName.put(name, member.pool()));
+        return new OperatorsRouting(next.router(), byName);
+    }
+
+    @Override
+    public void open() {
+        plan.pools().forEach(p -> begin(p, pools.get(p.name()).pool(), parts.config().known()));
+    }
+
+    private void begin(PoolPlan p, Pool pool, ServerList known) {
+        if (p.discovered()) {
+            pool.listed(ListKind.CACHED, known);
+        } else {
+            pool.listed(ListKind.COMPLETE, list(p));
+        }
+    }
+
+    private ServerList list(PoolPlan p) {
+        ServerList.Reader lists = parts.config().lists();
+        List<ServerList.Entry> entries = new ArrayList<>();
+        for (StaticServer s : p.servers()) {
+            Server line = new Server(Ids.of(s.id()), number(lists.zones(), s.zone()),
+                    number(lists.models(), s.model()), s.cell(), Phase.READY, 0, s.weight());
+            entries.add(new ServerList.Entry(line, s.endpoint()));
+        }
+        return new ServerList(0, true, entries);
+    }
+
+    private static int number(List<String> names, String name) {
+        return name == null ? -1 : names.indexOf(name);
+    }
+
+    @Override
+    public CompletableFuture<InetSocketAddress> listen() {
+        return doors(plan.listeners()).thenApply(opened -> {
+            doors.putAll(opened);
+            return doors.values().iterator().next().address();
+        });
+    }
+
+    /** Opens all of these doors or none. */
+    private CompletableFuture<Map<InetSocketAddress, ClientServer.Door>> doors(List<Listener> listeners) {
+        Map<InetSocketAddress, CompletableFuture<ClientServer.Door>> opening = new LinkedHashMap<>();
+        listeners.forEach(l -> opening.put(l.address(), parts.clients().listen(l.address())));
+        return CompletableFuture.allOf(opening.values().toArray(CompletableFuture[]::new)).handle((v, e) -> {
+            Map<InetSocketAddress, ClientServer.Door> opened = new LinkedHashMap<>();
+            opening.forEach((address, door) -> {
+                if (!door.isCompletedExceptionally()) {
+                    opened.put(address, door.join());
+                }
+            });
+            if (e != null) {
+                opened.values().forEach(door -> parts.clients().end(door, () -> { }));
+                throw new IllegalStateException("can't listen: " + e.getCause().getMessage(), e);
+            }
+            return opened;
+        });
+    }
+
+    @Override
+    public Way way(FullHttpRequest http) throws RequestReader.BadRequest {
+        return routing.way(http);
+    }
+
+    @Override
+    public boolean ready() {
+        return pools.values().stream().anyMatch(m -> m.pool().ready());
+    }
+
+    @Override
+    public Collection<Pool> discovered() {
+        return pools.values().stream().filter(Member::discovered).map(Member::pool).toList();
+    }
+
+    @Override
+    public Change reread() throws IOException {
+        Plan next = read(file, parts.config());
+        return () -> take(next);
+    }
+
+    /** The doors first, since only they can fail; the rest is taken over in one turn of the loop. */
+    private CompletableFuture<Void> take(Plan next) {
+        List<Listener> missing = next.listeners().stream()
+                .filter(l -> !doors.containsKey(l.address())).toList();
+        return doors(missing).thenAccept(opened -> {
+            doors.putAll(opened);
+            swap(next);
+        });
+    }
+
+    private void swap(Plan next) {
+        ServerList known = discovered().stream().findFirst().map(Pool::list)
+                .orElse(parts.config().known());
+        Map<String, Member> before = new LinkedHashMap<>(pools);
+        pools.clear();
+        for (PoolPlan p : next.pools()) {
+            Member member = before.get(p.name());
+            if (member != null && member.discovered() == p.discovered()) {
+                before.remove(p.name());
+                pools.put(p.name(), member);
+                member.pool().limit(p.connections(), p.requests(), p.queue());
+                if (!p.discovered()) {
+                    member.pool().listed(ListKind.COMPLETE, list(p));
+                }
+            } else {
+                pools.put(p.name(), create(p));
+                begin(p, pools.get(p.name()).pool(), known);
+            }
+        }
+        plan = next;
+        routing = route(next);
+        before.values().forEach(member -> retire(member.pool()));
+        Set<InetSocketAddress> kept = new HashSet<>();
+        next.listeners().forEach(l -> kept.add(l.address()));
+        for (InetSocketAddress address : List.copyOf(doors.keySet())) {
+            if (!kept.contains(address)) {
+                parts.clients().end(doors.remove(address), () -> { });
+            }
+        }
+    }
+
+    /** Requests that it has taken may still go out within the grace that a drain gives. */
+    private void retire(Pool pool) {
+        going.add(pool);
+        parts.shared().loop().schedule(() -> pool.retire(() -> going.remove(pool)),
+                parts.config().drainGraceMicros(), TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void close() {
+        pools.values().forEach(m -> m.pool().close());
+        going.forEach(Pool::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/OperatorsRejected.java
@@ -0,0 +1,12 @@
+package larkbank.sidecar;
+
+import java.io.IOException;
+
+/** An operators' file that is refused; the message has a line for each reason. */
+final class OperatorsRejected extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    OperatorsRejected(Exception cause) {
+        super(cause.getMessage(), cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/OperatorsRouting.java
@@ -0,0 +1,55 @@
+package larkbank.sidecar;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Map;
+import larkbank.route.BadTarget;
+import larkbank.route.HostName;
+import larkbank.route.RequestTarget;
+import larkbank.route.Routable;
+import larkbank.route.Route;
+import larkbank.route.Router;
+import larkbank.route.Target;
+
+/** Finds the way of a request by its route. What goes on is the normal form that was matched. */
+final class OperatorsRouting {
+
+    private final Router<Target> router;
+    private final Map<String, Pool> pools;
+
+    OperatorsRouting(Router<Target> router, Map<String, Pool> pools) {
+        this.router = router;
+        this.pools = pools;
+    }
+
+    Way way(FullHttpRequest http) throws RequestReader.BadRequest {
+        try {
+            RequestTarget target = RequestTarget.parse(http.uri());
+            String host = HostName.of(http.headers().getAll(HttpHeaderNames.HOST),
+                    http.protocolVersion().equals(HttpVersion.HTTP_1_1));
+            String named = target.host() == null ? host : target.host();
+            Route<Target> route = router.find(new Asked(http.method().name(), named, target.path(),
+                    http.headers()));
+            if (route == null) {
+                throw new RequestReader.BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
+            }
+            Target to = route.target();
+            return new Way(pools.get(to.pool()), to.requestClass(), target.text(), target.host(),
+                    to.timeoutMicros(), to.terms());
+        } catch (BadTarget e) {
+            throw new RequestReader.BadRequest(e.getMessage());
+        }
+    }
+
+    private record Asked(String method, String host, String path, HttpHeaders headers) implements Routable {
+        @Override
+        public String header(String name) {
+            List<String> values = headers.getAll(name);
+            return values.isEmpty() ? null : values.size() == 1 ? values.get(0) : String.join(", ", values);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/PlainLayout.java
@@ -0,0 +1,57 @@
+package larkbank.sidecar;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import larkbank.LoadBalancer.ListKind;
+
+/** Without an operators' file: one address, one pool, and classes by the first part of the path. */
+final class PlainLayout implements Layout {
+
+    private final Parts parts;
+    private final Pool pool;
+
+    PlainLayout(Parts parts) {
+        this.parts = parts;
+        Config config = parts.config();
+        pool = new Pool(parts.shared(), config, config.settings(), config.serverConnections(),
+                parts.modules());
+    }
+
+    @Override
+    public void open() {
+        pool.listed(ListKind.CACHED, parts.config().known());
+    }
+
+    @Override
+    public CompletableFuture<InetSocketAddress> listen() {
+        return parts.clients().listen(parts.config().listen()).thenApply(ClientServer.Door::address);
+    }
+
+    @Override
+    public Way way(FullHttpRequest http) throws RequestReader.BadRequest {
+        return parts.reader().way(http, pool);
+    }
+
+    @Override
+    public boolean ready() {
+        return pool.ready();
+    }
+
+    @Override
+    public Collection<Pool> discovered() {
+        return List.of(pool);
+    }
+
+    @Override
+    public Change reread() {
+        return () -> CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void close() {
+        pool.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -0,0 +1,296 @@
+package larkbank.sidecar;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import larkbank.LoadBalancer;
+import larkbank.LoadBalancer.Actions;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.LoadReport;
+import larkbank.LoadBalancer.Outcome;
+import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Settings;
+import larkbank.sidecar.Call.Attempt;
+
+/**
+ * One decision module with its servers. It turns what happens to requests into the module's events and the
+ * module's actions into what happens on connections, and decides nothing.
+ */
+final class Pool implements Actions, ServerPool.Listener {
+
+    /** The module ends its requests at their deadline; past this much more the pool does. */
+    private static final long OVERDUE_MICROS = 5_000;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final InHand inHand;
+    private final Runnable subscribe;
+    private final Consumer<String> log;
+    private final LoadBalancer module;
+    private final ServerPool servers;
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private boolean inModule;
+    /** Requests that have not been forgotten. */
+    private int calls;
+    /** To be run once the last request is forgotten, where the pool goes. */
+    private Runnable emptied;
+
+    /** Something to tell the module, and the request that it is about, if any. */
+    private record Event(Call about, Told told) { }
+
+    private interface Told {
+        void tell(long nowMicros);
+    }
+
+    /** What a pool shares with the rest of the process. */
+    record Shared(EventLoop loop, Clock clock, InHand inHand, Runnable subscribe, Consumer<String> log) { }
+
+    Pool(Shared shared, Config config, Settings settings, int connections,
+            BiFunction<Settings, Actions, LoadBalancer> modules) {
+        loop = shared.loop();
+        clock = shared.clock();
+        inHand = shared.inHand();
+        subscribe = shared.subscribe();
+        log = shared.log();
+        module = modules.apply(settings, this);
+        servers = new ServerPool(loop, clock, config, connections, this);
+    }
+
+    /** Whether any server is in service. */
+    boolean ready() {
+        return servers.anyReady();
+    }
+
+    ServerList list() {
+        return servers.list();
+    }
+
+    /** Takes a request that is in hand from now on. */
+    void take(Call call) {
+        calls++;
+        long now = clock.micros();
+        call.expiry = loop.schedule(() -> abort(call, HttpResponseStatus.GATEWAY_TIMEOUT),
+                call.request.deadlineMicros() - now + OVERDUE_MICROS, TimeUnit.MICROSECONDS);
+        tell(call, at -> module.request(at, call.request));
+    }
+
+    /** The client of a request has left. */
+    void left(Call call) {
+        over(call);
+        tell(null, now -> module.clientLeft(now, call.request.id()));
+    }
+
+    void listed(ListKind kind, ServerList list) {
+        servers.update(list);
+        tell(null, now -> module.servers(now, kind, list.servers()));
+    }
+
+    /** Discovery can't be reached. */
+    void failed() {
+        tell(null, now -> module.servers(now, ListKind.FAILED, List.of()));
+    }
+
+    /** Other limits hold from now on; what is in hand or open stays. */
+    void limit(int connections, int requests, int queue) {
+        servers.limit(connections);
+        tell(null, now -> module.limits(now, requests, queue));
+    }
+
+    /**
+     * Ends the pool: its servers are told as gone, so that nothing new goes to them past the drain grace, and
+     * what has been sent may still be answered.
+     *
+     * @param ended run once all requests are forgotten and all connections closed
+     */
+    void retire(Runnable ended) {
+        emptied = () -> {
+            close();
+            ended.run();
+        };
+        listed(ListKind.COMPLETE, new ServerList(0, true, List.of()));
+        tell(null, module::closing);
+        runIfEmpty();
+    }
+
+    void close() {
+        servers.close();
+    }
+
+    // ---- Events for the module
+
+    /**
+     * Tells the module, now or right after what it is being told: what an action brings about at once must
+     * not reach the module inside the very call that asked for it. An exception costs its own request only.
+     */
+    private void tell(Call about, Told told) {
+        events.addLast(new Event(about, told));
+        if (inModule) {
+            return;
+        }
+        inModule = true;
+        try {
+            for (Event e; (e = events.pollFirst()) != null;) {
+                tell(e);
+            }
+        } finally {
+            inModule = false;
+        }
+    }
+
+    private void tell(Event e) {
+        try {
+            e.told.tell(clock.micros());
+        } catch (RuntimeException | Error failure) {
+            log("request " + (e.about == null ? "-" : e.about.request.id()) + ": " + failure);
+            if (e.about != null) {
+                abort(e.about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+            }
+        }
+    }
+
+    @Override
+    public void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer) {
+        Call call = attempt.call;
+        attempt.result = result;
+        attempt.timeout.cancel(false);
+        call.out--;
+        if (result == Result.SERVED && !call.over) {
+            HttpHeaders headers = Headers.endToEnd(answer.headers());
+            headers.remove(Headers.LOAD);
+            Call.Client client = call.client;
+            over(call);
+            client.answer(HttpResponseStatus.OK, headers, answer.content().retain());
+        }
+        tell(call, now -> module.outcome(now, new Outcome(call.request.id(), attempt.number, attempt.server,
+                result, now - attempt.sentAt, call.over, report)));
+        forget(call);
+    }
+
+    // ---- Actions of the module
+
+    @Override
+    public void send(String requestId, long server, long timeoutMicros) {
+        Call call = inHand.get(requestId);
+        if (call == null) {
+            return;
+        }
+        long now = clock.micros();
+        long deadline = call.request.deadlineMicros();
+        long giveUpAt = timeoutMicros == 0 ? deadline : Math.min(deadline, now + timeoutMicros);
+        Attempt attempt = new Attempt(call, server, now, giveUpAt);
+        call.attempts.add(attempt);
+        call.out++;
+        attempt.timeout = loop.schedule(() -> stopWaiting(attempt, Result.TIMED_OUT), giveUpAt - now,
+                TimeUnit.MICROSECONDS);
+        servers.start(attempt);
+    }
+
+    /** Until its last byte is written an attempt can't have run, and the module is told that proof. */
+    private void stopWaiting(Attempt attempt, Result otherwise) {
+        if (attempt.result == null) {
+            servers.abandon(attempt);
+            ended(attempt, attempt.written ? otherwise : Result.NOT_SENT, null, null);
+        }
+    }
+
+    @Override
+    public void cancel(String requestId, int attempt) {
+        Call call = inHand.get(requestId);
+        if (call != null && attempt >= 0 && attempt < call.attempts.size()) {
+            stopWaiting(call.attempts.get(attempt), Result.CANCELLED);
+        }
+    }
+
+    @Override
+    public void refuse(String requestId, long retryAfterMicros) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (retryAfterMicros > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER,
+                    String.valueOf(Math.max(1, retryAfterMicros / 1000) / 1000.0));
+        }
+        answer(inHand.get(requestId), HttpResponseStatus.SERVICE_UNAVAILABLE, headers);
+    }
+
+    @Override
+    public void fail(String requestId) {
+        Call call = inHand.get(requestId);
+        boolean late = call != null && call.attempts.stream().anyMatch(a -> a.result == Result.TIMED_OUT);
+        answer(call, late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+                new DefaultHttpHeaders());
+    }
+
+    @Override
+    public void timer(long atMicros, long token) {
+        loop.schedule(() -> tell(null, now -> module.timer(now, token)),
+                Math.max(0, atMicros - clock.micros()), TimeUnit.MICROSECONDS);
+    }
+
+    /** Sidecars may not probe; the module only asks where the settings allow it. */
+    @Override
+    public void probe(long server) { }
+
+    @Override
+    public void closeIdle(long server) {
+        servers.closeIdle(server);
+    }
+
+    @Override
+    public void subscribe() {
+        subscribe.run();
+    }
+
+    @Override
+    public void log(String line) {
+        log.accept(line);
+    }
+
+    // ---- The one answer
+
+    private void answer(Call call, HttpResponseStatus status, HttpHeaders headers) {
+        if (call != null && !call.over) {
+            over(call);
+            call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** An answer that the module did not give: its request must have one all the same. */
+    private void abort(Call call, HttpResponseStatus status) {
+        if (!call.over) {
+            answer(call, status, new DefaultHttpHeaders());
+            tell(null, now -> module.clientLeft(now, call.request.id()));
+        }
+    }
+
+    private void over(Call call) {
+        call.over = true;
+        call.expiry.cancel(false);
+        inHand.over(call);
+        forget(call);
+    }
+
+    private void forget(Call call) {
+        if (call.over && call.out == 0 && !call.forgotten) {
+            call.forgotten = true;
+            inHand.remove(call);
+            calls--;
+            runIfEmpty();
+        }
+    }
+
+    private void runIfEmpty() {
+        if (emptied != null && calls == 0) {
+            Runnable task = emptied;
+            emptied = null;
+            loop.execute(task);
+        }
+    }
+}
--- a/src/main/java/larkbank/sidecar/Rehearsal.java
+++ b/src/main/java/larkbank/sidecar/Rehearsal.java
@@ -59,6 +59,7 @@
     /** Ids that the sidecar has been asked for: what comes again under one of them comes from the sidecar. */
     private final Set<String> asked = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final InetSocketAddress where;
     private final int requests;
     private final ClientServer stage;
     private Sidecar sidecar;
@@ -66,19 +67,21 @@
     private int answered;
     private boolean over;
 
-    private Rehearsal(EventLoop loop, Config config, int requests) {
+    private Rehearsal(EventLoop loop, Config config, InetSocketAddress where, int requests) {
         this.loop = loop;
         this.config = config;
+        this.where = where;
         this.requests = requests;
         prefix = Long.toHexString(new SplittableRandom(config.settings().seed()).nextLong()) + "-";
         stage = new ClientServer(loop, this, SOCKETS, line -> { });
     }
 
     /** Goes through so many requests, or as many as there is time for; how many were answered. */
-    static int run(Config config, int requests, long millis) throws InterruptedException {
+    static int run(Config config, InetSocketAddress where, int requests, long millis)
+            throws InterruptedException {
         // A loop of its own: with it go all connections and timers of the rehearsal.
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Rehearsal rehearsal = new Rehearsal(group.next(), config, requests);
+        Rehearsal rehearsal = new Rehearsal(group.next(), config, where, requests);
         try {
             rehearsal.loop.execute(rehearsal::open);
             rehearsal.ended.await(millis, TimeUnit.MILLISECONDS);
@@ -92,9 +95,9 @@
     }
 
     private void open() {
-        stage.listen(config.listen()).addListener(bound -> {
-            if (bound.isSuccess()) {
-                begin(stage.address());
+        stage.listen(where).whenComplete((door, failure) -> {
+            if (failure == null) {
+                begin(door.address());
             } else {
                 ended.countDown();
             }
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashMap;
 import java.util.List;
@@ -13,16 +14,28 @@
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Settings;
+import larkbank.LoadBalancer.Terms;
 
 /** Turns a client's message into a request, or says why it is none. */
 final class RequestReader {
 
-    /** A message that no client of the protocol sends; its text goes into the 400. */
+    /** A message that no client of the protocol sends; its text goes into the 4xx. */
     static final class BadRequest extends Exception {
         private static final long serialVersionUID = 1L;
 
+        private final transient HttpResponseStatus status;
+
         BadRequest(String message) {
+            this(HttpResponseStatus.BAD_REQUEST, message);
+        }
+
+        BadRequest(HttpResponseStatus status, String message) {
             super(message);
+            this.status = status;
+        }
+
+        HttpResponseStatus status() {
+            return status;
         }
     }
 
@@ -46,18 +59,31 @@
         }
     }
 
-    Call read(long now, FullHttpRequest http, Call.Client client) throws BadRequest {
-        if (http.decoderResult().isFailure()) {
-            throw new BadRequest("not HTTP");
-        }
-        checkFraming(http);
-        HttpHeaders headers = http.headers();
+    /** The way of a request by the first part of its path, which names its class, to the only pool. */
+    Way way(FullHttpRequest http, Pool pool) throws BadRequest {
         String path = path(http.uri());
         int slash = path.indexOf('/');
         Integer requestClass = classes.get(slash < 0 ? path : path.substring(0, slash));
         if (requestClass == null) {
             throw new BadRequest("no such class");
         }
+        return new Way(pool, requestClass, http.uri(), null, Long.MAX_VALUE, Terms.NONE);
+    }
+
+    /** Refuses what is not HTTP or is framed in a way that has more than one meaning. */
+    static void check(FullHttpRequest http) throws BadRequest {
+        if (http.decoderResult().isFailure()) {
+            throw new BadRequest("not HTTP");
+        }
+        checkFraming(http);
+    }
+
+    /** Reads a request whose way is known. */
+    Call read(long now, FullHttpRequest http, Way way, Call.Client client) throws BadRequest {
+        HttpHeaders headers = http.headers();
+        String path = path(way.uri());
+        int slash = path.indexOf('/');
+        int requestClass = way.requestClass();
         boolean write = settings.classes().get(requestClass).effect() != Effect.SAFE;
         checkMethod(http, settings.classes().get(requestClass).effect());
         String id = Headers.single(headers, Headers.REQUEST_ID);
@@ -65,14 +91,19 @@
             throw new BadRequest("no " + Headers.REQUEST_ID);
         }
         long timeout = number(headers, Headers.TIMEOUT, 1) * 1000;
-        long deadline = now + timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART);
+        long deadline = now + Math.min(way.timeoutMicros(),
+                timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART));
         long hint = headers.contains(Headers.HINT) ? number(headers, Headers.HINT, 0) : 0;
         long key = slash < 0 || slash == path.length() - 1 ? -1
                 : Ids.of(path.substring(path.lastIndexOf('/') + 1));
         boolean repeat = headers.contains(Headers.RETRY, "1", false);
-        Request request = new Request(id, requestClass, tenant(headers), repeat, key, deadline, hint, write);
-        return new Call(request, http.method(), http.uri(), headers, ByteBufUtil.getBytes(http.content()),
-                client);
+        Request request = new Request(id, requestClass, tenant(headers), repeat, key, deadline, hint, write,
+                way.terms());
+        if (way.host() != null) {
+            headers.set(HttpHeaderNames.HOST, way.host());
+        }
+        return new Call(request, way.pool(), http.method(), way.uri(), headers,
+                ByteBufUtil.getBytes(http.content()), client);
     }
 
     /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
--- a/src/main/java/larkbank/sidecar/ServerList.java
+++ b/src/main/java/larkbank/sidecar/ServerList.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import larkbank.Addresses;
 import larkbank.Json;
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.Server;
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -44,7 +44,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Listener listener;
-    private final int most;
+    private int most;
     private final long connectMicros;
     private final long drainGraceMicros;
     private final long idleMicros;
@@ -75,11 +75,11 @@
         }
     }
 
-    ServerPool(EventLoop loop, Clock clock, Config config, Listener listener) {
+    ServerPool(EventLoop loop, Clock clock, Config config, int most, Listener listener) {
         this.loop = loop;
         this.clock = clock;
         this.listener = listener;
-        most = config.serverConnections();
+        this.most = most;
         connectMicros = config.connectMicros();
         drainGraceMicros = config.drainGraceMicros();
         idleMicros = config.settings().limits().idleMicros();
@@ -130,6 +130,21 @@
         }
     }
 
+    /** Another bound on connections; those above it end as they become idle. */
+    void limit(int connections) {
+        most = connections;
+        int surplus = open - most;
+        while (surplus > 0 && closeOldestIdle()) {
+            surplus--;
+        }
+    }
+
+    /** The servers as last told, those that are not gone. */
+    ServerList list() {
+        return new ServerList(0, true, nodes.values().stream().filter(n -> !n.gone)
+                .map(n -> new ServerList.Entry(n.line, n.address)).toList());
+    }
+
     /** Whether any server is in service. */
     boolean anyReady() {
         return nodes.values().stream().anyMatch(n -> n.leavingSince == 0);
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Way.java
@@ -0,0 +1,13 @@
+package larkbank.sidecar;
+
+import larkbank.LoadBalancer.Terms;
+
+/**
+ * Where a request goes, and what holds for it on the way.
+ *
+ * @param requestClass its place among the classes of the settings
+ * @param uri what goes on to the server
+ * @param host what goes on as {@code Host} in place of what came; null where that stays
+ * @param timeoutMicros the longest that it may take, whatever its client says
+ */
+record Way(Pool pool, int requestClass, String uri, String host, long timeoutMicros, Terms terms) { }
--- /dev/null
+++ b/src/test/java/larkbank/operators/LimitsPropertyTest.java
@@ -0,0 +1,133 @@
+package larkbank.operators;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import larkbank.Choice;
+import larkbank.LoadBalancer.Settings;
+import larkbank.route.PoolPlan;
+import larkbank.route.Routable;
+import larkbank.route.Target;
+import larkbank.testkit.Installations;
+import larkbank.testkit.ModuleRig;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Random files, of which the checks let the valid ones through; under each, random requests with random
+ * outcomes. Whatever a valid file says, no rule breaks and attempts and times keep their limits.
+ */
+class LimitsPropertyTest {
+
+    private static final List<String> CLASSES = List.of("search", "hold", "book", "pay");
+
+    private static void maybe(SplittableRandom random, int chance, StringBuilder text, String line) {
+        if (random.nextInt(100) < chance) {
+            text.append(line).append('\n');
+        }
+    }
+
+    private static String time(SplittableRandom random, int most) {
+        return "\"" + (1 + random.nextInt(most)) + "ms\"";
+    }
+
+    private static String outcomes(SplittableRandom random) {
+        List<String> words = new ArrayList<>();
+        for (String word : Retryable.words()) {
+            if (random.nextInt(3) > 0) {
+                words.add("\"" + word + "\"");
+            }
+        }
+        return "[" + String.join(", ", words) + "]";
+    }
+
+    private static void limits(SplittableRandom random, StringBuilder text) {
+        maybe(random, 40, text, "timeout = " + time(random, 3_000));
+        maybe(random, 40, text, "attempt_timeout = " + time(random, 800));
+        maybe(random, 50, text, "attempts = " + (1 + random.nextInt(6)));
+        maybe(random, 30, text, "retry_on = " + outcomes(random));
+        maybe(random, 30, text, "max_requests = " + (1 + random.nextInt(40)));
+        maybe(random, 30, text, "max_queue = " + random.nextInt(10));
+        if (random.nextInt(3) == 0) {
+            text.append("hedges = ").append(1 + random.nextInt(2)).append("\nhedge_after = ")
+                    .append(time(random, 200)).append('\n');
+        }
+    }
+
+    private static String file(SplittableRandom random) {
+        StringBuilder text = new StringBuilder("version = 1\n[pools.p]\nsource = \"discovery\"\n");
+        maybe(random, 50, text, "max_requests = " + (1 + random.nextInt(60)));
+        maybe(random, 50, text, "max_queue = " + random.nextInt(20));
+        maybe(random, 20, text, "attempts = " + (1 + random.nextInt(6)));
+        for (String name : CLASSES) {
+            if (random.nextInt(4) == 0) {
+                text.append("[classes.").append(name).append("]\n");
+                limits(random, text);
+            }
+            text.append("[routes.").append(name).append("]\npath = \"/").append(name)
+                    .append("/*\"\nclass = \"")
+                    .append(name).append("\"\npool = \"p\"\n");
+            limits(random, text);
+        }
+        return text.toString();
+    }
+
+    @Test
+    void noValidFileBreaksARule() {
+        long seed = 3141;
+        int valid = 0;
+        int retries = 0;
+        int copies = 0;
+        long answered = 0;
+        for (long i = 0; valid < 150; i++) {
+            SplittableRandom random = new SplittableRandom(seed + i);
+            String text = file(random);
+            Operators operators;
+            try {
+                operators = Operators.load("random.toml", text, Installations.facts());
+            } catch (BadFile e) {
+                continue;
+            }
+            valid++;
+            PoolPlan pool = operators.plan().pools().get(0);
+            Settings base = Installations.settings(seed + i);
+            Settings settings = base.with(base.limits().with(pool.requests(), pool.queue()), false);
+            ModuleRig rig = new ModuleRig("seed " + (seed + i) + "\n" + text, settings, seed + i,
+                    2 + random.nextInt(8), Choice::new);
+            for (int n = 0; n < 400; n++) {
+                String name = CLASSES.get(random.nextInt(CLASSES.size()));
+                Target target = operators.plan().router().find(new Asked("/" + name + "/1")).target();
+                rig.ask(random.nextLong(3_000_000), "q" + n, target.requestClass(),
+                        Math.min(target.timeoutMicros(), 50_000 + random.nextLong(2_000_000)),
+                                target.terms());
+            }
+            if (random.nextInt(4) == 0) {
+                rig.after(2_000_000, () -> rig.module().closing(rig.now()));
+            }
+            rig.run();
+            retries += rig.retries();
+            copies += rig.copies();
+            answered += rig.ended("served");
+        }
+        assertTrue(retries > 1_000 && copies > 200 && answered > 10_000, "looked at too little: " + retries
+                + " further attempts, " + copies + " copies, " + answered + " served");
+    }
+
+    private record Asked(String path) implements Routable {
+        @Override
+        public String method() {
+            return "GET";
+        }
+
+        @Override
+        public String host() {
+            return "h";
+        }
+
+        @Override
+        public String header(String name) {
+            return null;
+        }
+    }
+}
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -22,6 +22,8 @@
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.Settings;
+import larkbank.testkit.Http;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.Assertions;
 
 /** A sidecar on free loopback ports between scripted servers, a scripted discovery and raw clients. */
@@ -38,7 +40,8 @@
             + "'late_value':0.5}],"
             + "'tenants':[{'name':'acme','share':1}],'zones':['a'],'models':['m'],'zone':0,'discovery':'ask',"
             + "'policy_limits':{'attempts_cap':4,'cancelling':true,'retry_after':true,"
-            + "'max_retry_after_us':2000000,'conn_idle_us':15000000,'connect_timeout_us':CONNECT},"
+            + "'max_retry_after_us':2000000,'second_copies':true,'conn_idle_us':15000000,"
+            + "'connect_timeout_us':CONNECT},"
             + "'report':{'source':'answers','names':['cpu','rps','err_rps']},"
             + "'rules':{'ask_every_us':800000,'drain_grace_us':300000,'cold_from':0.3,'cold_us':1000000,"
             + "'fall_us':1000000},'tick_us':1000}";
@@ -50,6 +53,7 @@
     private final List<Client> clients = new ArrayList<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
     final Path file;
+    private final Path folder;
     Sidecar sidecar;
     InetSocketAddress address;
 
@@ -61,6 +65,7 @@
         // The first answer says what is known already; the watch that goes on then hears nothing.
         discovery = new Stub(seen -> { });
         loop = group.next();
+        this.folder = folder;
         file = folder.resolve("config.json");
         Files.writeString(file, json(("{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
                 + discovery.port() + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
@@ -96,6 +101,24 @@
         return this;
     }
 
+    /** With an operators' file. */
+    Harness startWith(String operators) throws Exception {
+        Path file = folder.resolve("operators.toml");
+        Files.writeString(file, operators);
+        Config config = config();
+        Sidecar.Layouts layouts = OperatorsLayout.of(file, config).layouts();
+        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), Choice::new,
+                layouts)).get();
+        address = sidecar.start().get(10, TimeUnit.SECONDS);
+        return this;
+    }
+
+    /** Changes the operators' file and waits until it is taken over or refused. */
+    void reload(String operators) throws Exception {
+        Files.writeString(folder.resolve("operators.toml"), operators);
+        sidecar.reload(Map.of("LB_CONFIG", file.toString())).get(10, TimeUnit.SECONDS);
+    }
+
     Client client() throws IOException {
         Client client = new Client(address);
         clients.add(client);
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/OperatorsLayoutTest.java
@@ -0,0 +1,466 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import larkbank.testkit.Http;
+import larkbank.testkit.Stub;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A sidecar with an operators' file between real sockets. */
+@Timeout(60)
+class OperatorsLayoutTest {
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Harness harness;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    private Stub server(Stub.Script script) throws IOException {
+        Stub stub = new Stub(script);
+        open.add(stub);
+        return stub;
+    }
+
+    private Harness sidecar(String operators) throws Exception {
+        harness = new Harness(folder);
+        open.add(harness);
+        return harness.startWith("version = 1\n" + operators);
+    }
+
+    private static String pool(String name, String more, Stub... servers) {
+        StringBuilder text = new StringBuilder("[pools." + name + "]\nsource = \"static\"\n" + more
+                + "servers = [\n");
+        for (Stub server : servers) {
+            text.append("  { id = \"s-").append(server.port()).append("\", endpoint = \"127.0.0.1:")
+                    .append(server.port()).append("\", zone = \"a\" },\n");
+        }
+        return text.append("]\n").toString();
+    }
+
+    private static String route(String requestClass, String pool, String more) {
+        return "[routes." + requestClass + "]\npath = \"/" + requestClass + "/*\"\nclass = \"" + requestClass
+                + "\"\npool = \"" + pool + "\"\n" + more;
+    }
+
+    private void reload(String operators) throws Exception {
+        harness.reload("version = 1\n" + operators);
+    }
+
+    private static String search(String target, String host) {
+        return "GET " + target + " HTTP/1.1\r\n" + host + "Request-Id: " + Harness.Client.id()
+                + "\r\nTenant: acme\r\nRequest-Timeout-Ms: 2000\r\n\r\n";
+    }
+
+    // ---- Routes
+
+    @Test
+    void eachRouteLeadsToItsPool() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        Stub two = server(Stub.serves("two"));
+        sidecar(pool("p", "", one) + pool("q", "", two) + route("search", "p", "") + route("book", "q", ""));
+        assertEquals("one", harness.client().search(2_000).answer().body());
+        assertEquals("two", harness.client().book("x", 2_000).answer().body());
+        Http.Message none = harness.client().raw(search("/other/1", "Host: a\r\n")).answer();
+        assertEquals(404, none.status());
+        assertEquals("no route\n", none.body());
+    }
+
+    /** However a path is spelled, the server gets what was matched. */
+    @ParameterizedTest
+    @CsvSource({
+        "/search/../book/7, /book/7", "//book//7?x=%2F, /book/7?x=%2F", "/%62ook/7, /book/7",
+        "/search/%2e%2E/book/./7, /book/7", "http://A.example.org:81/book/7, /book/7"
+    })
+    void noSpellingSlipsPastARoute(String target, String sent) throws Exception {
+        Stub one = server(Stub.serves("one"));
+        Stub two = server(Stub.serves("two"));
+        sidecar(pool("p", "", one) + pool("q", "", two) + route("search", "p", "") + route("book", "q", ""));
+        String head = "POST " + target + " HTTP/1.1\r\nHost: other\r\nRequest-Id: " + Harness.Client.id()
+                + "\r\nTenant: acme\r\nRequest-Timeout-Ms: 2000\r\nContent-Length: 1\r\n\r\nx";
+        assertEquals("two", harness.client().raw(head).answer().body());
+        Http.Message seen = two.take().request();
+        assertEquals("POST " + sent + " HTTP/1.1", seen.first());
+        assertEquals(target.startsWith("http") ? "a.example.org" : "other", seen.headers().get("Host"));
+        assertTrue(one.seen.isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "/search%2F1 | Host: a", "/search/%5C | Host: a", "/../search/1 | Host: a", "/search/%zz | Host: a",
+        "search | Host: a", "/search/1 | X: a", "/search/1 | Host: a\\r\\nHost: a", "/search/1 | Host: a/b",
+        "http:///search/1 | Host: a",
+    })
+    void whatHasNoOneMeaningIsRejected(String target, String host) throws Exception {
+        Stub one = server(Stub.serves("one"));
+        sidecar(pool("p", "", one) + route("search", "p", ""));
+        String fields = host.strip().replace("\\r", "\r").replace("\\n", "\n") + "\r\n";
+        assertEquals(400, harness.client().raw(search(target.strip(), fields)).answer().status());
+        assertTrue(one.seen.isEmpty());
+    }
+
+    @Test
+    void hostAndHeadersTellRoutesApart() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        Stub two = server(Stub.serves("two"));
+        sidecar(pool("p", "", one) + pool("q", "", two) + route("search", "p", "host = \"*.example.org\"\n")
+                + "[routes.gold]\nhost = \"*.example.org\"\npath = \"/search/*\"\nclass = \"search\"\n"
+                + "pool = \"q\"\nheaders = { X-Tier = \"gold\" }\n");
+        String host = "Host: API.Example.org:8443\r\n";
+        assertEquals("one", harness.client().raw(search("/search/1", host)).answer().body());
+        assertEquals("two", harness.client().raw(search("/search/1", host + "x-tier: gold\r\n")).answer()
+                .body());
+        assertEquals("one", harness.client().raw(search("/search/1", host
+                + "X-Tier: gold\r\nX-Tier: gold\r\n")).answer().body());
+        assertEquals(404, harness.client().raw(search("/search/1",
+                "Host: example.org\r\n")).answer().status());
+    }
+
+    // ---- Limits
+
+    @Test
+    void aCopyGoesOutAndItsLoserIsCalledOff() throws Exception {
+        Stub one = server(Stub.SILENT);
+        Stub two = server(Stub.SILENT);
+        sidecar(pool("p", "", one, two)
+                + route("search", "p", "attempts = 2\nhedges = 1\nhedge_after = \"50ms\"\n"));
+        Harness.Client client = harness.client().search(2_000);
+        // Each has a copy before either has answered.
+        Stub.Seen slow = one.take();
+        two.take().reply("200 OK", "", "copy");
+        assertEquals("copy", client.answer().body());
+        one.awaitEnd();
+        assertEquals("GET /search/k1 HTTP/1.1", slow.request().first());
+        assertEquals(2, one.accepted.get() + two.accepted.get());
+        one.script(Stub.serves("next"));
+        two.script(Stub.serves("next"));
+        // The client's next answer belongs to its next request: the one before had no second.
+        assertEquals("next", client.search(2_000).answer().body());
+    }
+
+    @Test
+    void anUnsafeRequestHasNoCopy() throws Exception {
+        Stub one = server(Stub.SILENT);
+        Stub two = server(Stub.SILENT);
+        sidecar(pool("p", "hedges = 2\n", one, two)
+                + route("search", "p", "attempts = 2\nhedges = 1\nhedge_after = \"20ms\"\n")
+                + route("book", "p", ""));
+        Harness.Client client = harness.client().book("x", 400);
+        assertEquals(504, client.answer().status());
+        assertEquals(1, one.seen.size() + two.seen.size());
+    }
+
+    @Test
+    void anAttemptHasItsOwnTime() throws Exception {
+        Stub one = server(Stub.SILENT);
+        Stub two = server(Stub.SILENT);
+        AtomicInteger came = new AtomicInteger();
+        Stub.Script secondServes = seen -> {
+            if (came.incrementAndGet() == 2) {
+                seen.reply("200 OK", "", "second");
+            }
+        };
+        one.script(secondServes);
+        two.script(secondServes);
+        sidecar(pool("p", "", one, two) + route("search", "p",
+                "attempts = 2\nattempt_timeout = \"120ms\"\n"));
+        assertEquals("second", harness.client().search(2_000).answer().body());
+        for (Stub server : List.of(one, two)) {
+            long told = Long.parseLong(server.take().request().headers().get("Request-Timeout-Ms"));
+            assertTrue(told <= 120, "told the server " + told);
+        }
+    }
+
+    @Test
+    void whatIsNotToBeRetriedIsNot() throws Exception {
+        Stub one = server(Stub.answers("500 No", "", ""));
+        Stub two = server(Stub.answers("500 No", "", ""));
+        sidecar(pool("p", "", one, two) + route("search", "p", "retry_on = [\"turned-away\"]\n"));
+        assertNotEquals(200, harness.client().search(2_000).answer().status());
+        assertEquals(1, one.seen.size() + two.seen.size());
+    }
+
+    @Test
+    void theRoutesTimeEndsARequestBeforeItsClients() throws Exception {
+        Stub silent = server(Stub.SILENT);
+        sidecar(pool("p", "", silent) + route("book", "p", "timeout = \"200ms\"\n"));
+        long since = System.nanoTime();
+        assertEquals(504, harness.client().book("x", 3_000).answer().status());
+        assertTrue(System.nanoTime() - since < 2_000_000_000L, "waited for the client's own time");
+    }
+
+    @Test
+    void aPoolAtItsLimitDoesNotStarveItsNeighbour() throws Exception {
+        Stub silent = server(Stub.SILENT);
+        Stub sound = server(Stub.serves("ok"));
+        sidecar(pool("p", "max_requests = 4\nmax_queue = 1\n", silent) + pool("q", "", sound)
+                + route("book", "p", "") + route("search", "q", ""));
+        List<Harness.Client> stuck = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            stuck.add(harness.client().book("x", 3_000));
+        }
+        // Those that the pool has no room for hear so at once; the first ones are out.
+        silent.take();
+        int refused = 0;
+        for (int i = 0; i < 40; i++) {
+            assertEquals(200, harness.client().search(2_000).answer().status());
+        }
+        for (Harness.Client client : stuck) {
+            Http.Message answer = client.answer();
+            refused += answer.status() == 503 ? 1 : 0;
+        }
+        assertTrue(refused >= 36, "refused " + refused);
+        assertTrue(silent.seen.size() < 4, "out " + silent.seen.size());
+    }
+
+    @Test
+    void connectionsKeepTheirBound() throws Exception {
+        Stub silent = server(Stub.SILENT);
+        sidecar(pool("p", "max_connections = 2\n", silent) + route("search", "p", "timeout = \"500ms\"\n"));
+        List<Harness.Client> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            clients.add(harness.client().search(2_000));
+        }
+        for (Harness.Client client : clients) {
+            assertNotEquals(200, client.answer().status());
+        }
+        assertTrue(silent.accepted.get() >= 1);
+        assertTrue(silent.accepted.get() - silent.ended.size() <= 2, "more than two at once");
+    }
+
+    // ---- Reload
+
+    @Test
+    void aBadFileChangesNothing() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        sidecar(pool("p", "", one) + route("search", "p", ""));
+        reload(pool("p", "", one) + route("search", "p", "attempts = 9\n") + "[routes.x]\n");
+        assertEquals("one", harness.client().search(2_000).answer().body());
+        String log = harness.log.toString();
+        assertTrue(log.contains("operators.toml:11: 'attempts' is 9; the settings allow 4"), log);
+        assertTrue(log.contains("operators.toml:12: "), log);
+        assertTrue(log.contains("the old configuration stays"), log);
+    }
+
+    /** The unsafe request that is out stays where it went; the next one goes the new way. */
+    @Test
+    void aRouteMovesWhileItsUnsafeRequestIsOut() throws Exception {
+        Stub old = server(Stub.SILENT);
+        Stub next = server(Stub.serves("next"));
+        sidecar(pool("p", "", old) + route("book", "p", ""));
+        Harness.Client client = harness.client().book("x", 3_000);
+        Stub.Seen held = old.take();
+        reload(pool("q", "", next) + route("book", "q", ""));
+        assertEquals("next", harness.client().book("y", 2_000).answer().body());
+        held.reply("200 OK", "", "old");
+        assertEquals("old", client.answer().body());
+        assertEquals(1, next.seen.size());
+        // With its last request the old pool goes, and its connection.
+        old.awaitEnd();
+        assertTrue(old.seen.isEmpty());
+    }
+
+    /** What waits in a pool that goes is given up at once when no server can come any more. */
+    @Test
+    void whatIsHeldInAPoolThatGoesIsAnswered() throws Exception {
+        Stub one = server(Stub.answers("503 Full", "Not-Started: 1\r\n", ""));
+        Stub next = server(Stub.serves("next"));
+        sidecar(pool("p", "", one) + route("book", "p", ""));
+        Harness.Client client = harness.client().book("x", 20_000);
+        one.take();
+        long since = System.nanoTime();
+        reload(pool("q", "", next) + route("book", "q", ""));
+        assertEquals(503, client.answer().status());
+        assertTrue(System.nanoTime() - since < 3_000_000_000L, "held long past the grace");
+        assertTrue(next.seen.isEmpty());
+    }
+
+    @Test
+    void aPoolThatStaysTakesOverItsNewServersAndLimits() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        Stub two = server(Stub.serves("two"));
+        sidecar(pool("p", "", one) + route("search", "p", ""));
+        assertEquals("one", harness.client().search(2_000).answer().body());
+        reload(pool("p", "max_connections = 5\n", two) + route("search", "p", ""));
+        assertEquals("two", harness.client().search(2_000).answer().body());
+        one.awaitEnd();
+        assertEquals(1, one.seen.size());
+    }
+
+    /** The hedged request and its copy end under the file that they came with. */
+    @Test
+    void aHedgedRequestOutlivesAReload() throws Exception {
+        Stub one = server(Stub.SILENT);
+        Stub two = server(Stub.SILENT);
+        String hedged = route("search", "p", "attempts = 2\nhedges = 1\nhedge_after = \"300ms\"\n");
+        sidecar(pool("p", "", one, two) + hedged);
+        Harness.Client client = harness.client().search(2_500);
+        Stub.Seen first = one.seen.poll(200, TimeUnit.MILLISECONDS);
+        reload(pool("p", "", one, two) + route("search", "p", "attempts = 1\n"));
+        Stub.Seen copy = first == null ? one.take() : two.take();
+        copy.reply("200 OK", "", "copy");
+        assertEquals("copy", client.answer().body());
+        assertEquals(2, one.accepted.get() + two.accepted.get());
+    }
+
+    private static String listener(String name, int port) {
+        return "[listeners." + name + "]\naddress = \"127.0.0.1:" + port + "\"\n";
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return free.getLocalPort();
+        }
+    }
+
+    @Test
+    void listenersOpenAndCloseWithoutLosingAConnection() throws Exception {
+        Stub server = server(Stub.SILENT);
+        int first = freePort();
+        int second = freePort();
+        String rest = pool("p", "", server) + route("book", "p", "");
+        sidecar(listener("a", first) + rest);
+        Harness.Client inHand = harness.client().book("x", 5_000);
+        Harness.Client idle = harness.client();
+        Stub.Seen held = server.take();
+        reload(listener("b", second) + rest);
+        // Accepted before the door closes: its request is still taken, and its connection then ended.
+        server.script(Stub.serves("late"));
+        idle.book("y", 5_000);
+        assertEquals("late", idle.answer().body());
+        try (Harness.Client other = new Harness.Client(new InetSocketAddress("127.0.0.1", second))) {
+            assertEquals("late", other.book("z", 2_000).answer().body());
+        }
+        held.reply("200 OK", "", "first");
+        assertEquals("first", inHand.answer().body());
+        inHand.assertClosed();
+        idle.assertClosed();
+        awaitRefused(first);
+    }
+
+    private static void awaitRefused(int port) throws Exception {
+        while (true) {
+            try {
+                new Harness.Client(new InetSocketAddress("127.0.0.1", port)).close();
+            } catch (ConnectException e) {
+                return;
+            }
+        }
+    }
+
+    @Test
+    void anAddressThatIsTakenChangesNothing() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        int port = freePort();
+        sidecar(listener("a", port) + pool("p", "", one) + route("search", "p", ""));
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            reload(listener("a", port) + listener("b", taken.getLocalPort())
+                    + pool("q", "", one) + route("search", "q", "") + route("book", "q", ""));
+        }
+        assertTrue(harness.log.toString().contains("can't listen"), harness.log.toString());
+        assertEquals("one", harness.client().search(2_000).answer().body());
+        assertEquals(404, harness.client().book("x", 2_000).answer().status());
+    }
+
+    /** Steady load from an independent client while the file changes as often as it can. */
+    @Test
+    void reloadUnderLoadAnswersEachRequestOnce() throws Exception {
+        Map<String, AtomicInteger> ran = new ConcurrentHashMap<>();
+        Stub.Script counts = seen -> {
+            ran.computeIfAbsent(seen.request().headers().get("Request-Id"), id -> new AtomicInteger())
+                    .incrementAndGet();
+            seen.reply("200 OK", "", "ok");
+        };
+        Stub one = server(counts);
+        Stub two = server(counts);
+        Stub three = server(counts);
+        List<String> files = List.of(
+                pool("p", "", one, two) + route("search", "p", "") + route("book", "p", ""),
+                pool("p", "max_requests = 50\n", one, two) + pool("q", "", three)
+                        + route("search", "p", "attempts = 2\n") + route("book", "q", ""),
+                pool("q", "", three, two) + route("search", "q", "") + route("book", "q", ""));
+        sidecar(files.get(0));
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        ExecutorService senders = Executors.newFixedThreadPool(6);
+        AtomicInteger left = new AtomicInteger(3_000);
+        Callable<Map<Integer, Integer>> sender = () -> {
+            Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+            while (left.getAndDecrement() > 0) {
+                boolean book = left.get() % 2 == 0;
+                HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                        + harness.address.getPort() + (book ? "/book/1" : "/search/1")))
+                        .header("Request-Id", Harness.Client.id()).header("Tenant", "acme")
+                        .header("Request-Timeout-Ms", "3000");
+                request = book ? request.POST(HttpRequest.BodyPublishers.ofString("x")) : request.GET();
+                statuses.merge(client.send(request.build(),
+                        HttpResponse.BodyHandlers.ofString()).statusCode(),
+                        1, Integer::sum);
+            }
+            return statuses;
+        };
+        List<Future<Map<Integer, Integer>>> all = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            all.add(senders.submit(sender));
+        }
+        int reloads = 0;
+        while (left.get() > 0) {
+            reload(files.get(++reloads % files.size()));
+        }
+        Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+        for (Future<Map<Integer, Integer>> each : all) {
+            each.get().forEach((status, count) -> statuses.merge(status, count, Integer::sum));
+        }
+        senders.shutdown();
+        assertEquals(Map.of(200, 3_000), statuses);
+        assertEquals(3_000, ran.size());
+        assertTrue(ran.values().stream().allMatch(n -> n.get() == 1), "some ran twice");
+        assertTrue(reloads > 3, "reloads " + reloads);
+        assertFalse(harness.log.toString().contains("old configuration"), harness.log.toString());
+    }
+
+    // ---- Start
+
+    @Test
+    void aBadFileEndsTheStartWithAllReasons() throws Exception {
+        harness = new Harness(folder);
+        open.add(harness);
+        IOException refused = assertThrows(IOException.class,
+                () -> harness.startWith("version = 1\n" + route("search", "p", "attempts = 9\n")));
+        assertEquals(2, refused.getMessage().lines().count(), refused.getMessage());
+    }
+}
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
--- a/src/test/java/larkbank/sidecar/RehearsalTest.java
+++ b/src/test/java/larkbank/sidecar/RehearsalTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,7 +39,7 @@
         try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
             Config config = at(harness, freePort());
             for (int i = 0; i < 5; i++) {
-                assertTrue(Rehearsal.run(config, REQUESTS, 20_000) >= REQUESTS);
+                assertTrue(Rehearsal.run(config, config.listen(), REQUESTS, 20_000) >= REQUESTS);
                 new ServerSocket(config.listen().getPort()).close();
             }
             assertTrue(server.seen.isEmpty());
@@ -51,7 +52,8 @@
     void itEndsByTheClockToo() throws Exception {
         try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
             long since = System.nanoTime();
-            Rehearsal.run(at(harness, freePort()), Integer.MAX_VALUE, 100);
+            Config config = at(harness, freePort());
+            Rehearsal.run(config, config.listen(), Integer.MAX_VALUE, 100);
             assertTrue(System.nanoTime() - since < 5_000_000_000L);
         }
     }
@@ -63,7 +65,7 @@
             Config config = at(harness, freePort());
             var running = CompletableFuture.supplyAsync(() -> {
                 try {
-                    return Rehearsal.run(config, Integer.MAX_VALUE, 2_000);
+                    return Rehearsal.run(config, config.listen(), Integer.MAX_VALUE, 2_000);
                 } catch (InterruptedException e) {
                     return -1;
                 }
--- a/src/test/java/larkbank/sidecar/RoughTest.java
+++ b/src/test/java/larkbank/sidecar/RoughTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import larkbank.LoadBalancer;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -24,6 +24,7 @@
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
 import larkbank.sidecar.Call.Attempt;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -61,7 +62,8 @@
         harness = new Harness(folder, CONNECT_MICROS, sockets, servers);
         open.add(harness);
         Config config = harness.config();
-        pool = harness.loop.submit(() -> new ServerPool(harness.loop, clock, config, this::ended)).get();
+        pool = harness.loop.submit(() -> new ServerPool(harness.loop, clock, config,
+                config.serverConnections(), this::ended)).get();
         update(Harness.list(1, true, "in_service", servers));
     }
 
@@ -82,7 +84,8 @@
     private Attempt send(int port) throws Exception {
         long now = clock.micros();
         Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, 0, false);
-        Call call = new Call(request, HttpMethod.GET, "/search", new DefaultHttpHeaders(), new byte[0], null);
+        Call call = new Call(request, null, HttpMethod.GET, "/search", new DefaultHttpHeaders(),
+                new byte[0], null);
         Attempt attempt = new Attempt(call, Ids.of("s-" + port), now, request.deadlineMicros());
         harness.loop.submit(() -> pool.start(attempt)).get();
         return attempt;
--- a/src/test/java/larkbank/sidecar/SlowSpellTest.java
+++ b/src/test/java/larkbank/sidecar/SlowSpellTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import larkbank.testkit.Stub;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
--- a/src/test/java/larkbank/sidecar/Http.java
+++ b/src/test/java/larkbank/testkit/Http.java
@@ -1,4 +1,4 @@
-package larkbank.sidecar;
+package larkbank.testkit;
 
 import java.io.EOFException;
 import java.io.IOException;
@@ -8,18 +8,18 @@
 import java.util.TreeMap;
 
 /** Just enough HTTP/1.1 to look at the bytes that the sidecar writes. */
-final class Http {
+public final class Http {
 
     private Http() { }
 
-    record Message(String first, Map<String, String> headers, String body) {
-        int status() {
+    public record Message(String first, Map<String, String> headers, String body) {
+        public int status() {
             return Integer.parseInt(first.split(" ")[1]);
         }
     }
 
     /** The next message, or null at the end of the connection. */
-    static Message read(InputStream in) throws IOException {
+    public static Message read(InputStream in) throws IOException {
         String first = line(in);
         if (first == null) {
             return null;
--- a/src/test/java/larkbank/sidecar/Stub.java
+++ b/src/test/java/larkbank/testkit/Stub.java
@@ -1,4 +1,4 @@
-package larkbank.sidecar;
+package larkbank.testkit;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -16,67 +16,67 @@
 import org.junit.jupiter.api.Assertions;
 
 /** A scripted peer on a free loopback port: each test says what it does with a request. */
-final class Stub implements AutoCloseable {
+public final class Stub implements AutoCloseable {
 
     /** A request as it came, and the connection that it came on. */
-    record Seen(Http.Message request, Socket socket) {
-        void reply(String status, String headers, String body) throws IOException {
+    public record Seen(Http.Message request, Socket socket) {
+        public void reply(String status, String headers, String body) throws IOException {
             raw("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
                     + body);
         }
 
-        void raw(String text) throws IOException {
+        public void raw(String text) throws IOException {
             OutputStream out = socket.getOutputStream();
             out.write(text.getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
         }
     }
 
-    interface Script {
+    public interface Script {
         void on(Seen seen) throws IOException;
     }
 
-    static final Script SILENT = seen -> { };
-    static final Script HANG_UP = seen -> seen.socket().close();
+    public static final Script SILENT = seen -> { };
+    public static final Script HANG_UP = seen -> seen.socket().close();
 
-    final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
     /** One entry for each connection that has ended. */
-    final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
-    final AtomicInteger accepted = new AtomicInteger();
+    public final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+    public final AtomicInteger accepted = new AtomicInteger();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final ServerSocket listening;
     private final Thread accepting;
     private volatile Script script;
 
-    Stub(Script script) throws IOException {
+    public Stub(Script script) throws IOException {
         this.script = script;
         listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         accepting = daemon(this::accept);
     }
 
-    static Script answers(String status, String headers, String body) {
+    public static Script answers(String status, String headers, String body) {
         return seen -> seen.reply(status, headers, body);
     }
 
-    static Script serves(String body) {
+    public static Script serves(String body) {
         return answers("200 OK", "", body);
     }
 
-    void script(Script next) {
+    public void script(Script next) {
         script = next;
     }
 
-    int port() {
+    public int port() {
         return listening.getLocalPort();
     }
 
-    Seen take() throws InterruptedException {
+    public Seen take() throws InterruptedException {
         Seen next = seen.poll(10, TimeUnit.SECONDS);
         Assertions.assertNotNull(next, "no request came");
         return next;
     }
 
-    void awaitEnd() throws InterruptedException {
+    public void awaitEnd() throws InterruptedException {
         Assertions.assertNotNull(ended.poll(10, TimeUnit.SECONDS), "no connection ended");
     }
 
