--- /dev/null
+++ b/src/bench/java/larkbank/PaperBench.java
@@ -0,0 +1,111 @@
+package larkbank;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * The article's own case: 8,000 hosts with 4 labels of 3 values each, the tree of all nodes. Naive: each node
+ * goes over all hosts and compares their labels. Index: a bitmap a value, nodes by intersection.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MILLISECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class PaperBench {
+
+    private static final int HOSTS = 8_000;
+    private static final int KEYS = 4;
+    private static final int VALUES = 3;
+
+    private List<Map<String, String>> named;
+    private int[][] labels;
+
+    private static final class Host extends Subsets.Member { }
+
+    @Setup
+    public void setUp() {
+        SplittableRandom random = new SplittableRandom(8);
+        labels = new int[HOSTS][];
+        named = new ArrayList<>();
+        for (int i = 0; i < HOSTS; i++) {
+            labels[i] = random.ints(KEYS, 0, VALUES).toArray();
+            Map<String, String> map = new HashMap<>();
+            for (int k = 0; k < KEYS; k++) {
+                map.put("key" + k, "value" + labels[i][k]);
+            }
+            named.add(map);
+        }
+    }
+
+    /** The prefixes of the sorted keys: 3 + 9 + 27 + 81 nodes, as one list of keys gives. */
+    @Benchmark
+    public int naive() {
+        List<List<Map<String, String>>> nodes = new ArrayList<>();
+        grow(new HashMap<>(), 0, nodes);
+        return nodes.size();
+    }
+
+    private void grow(Map<String, String> wanted, int key, List<List<Map<String, String>>> nodes) {
+        if (key == KEYS) {
+            return;
+        }
+        for (int v = 0; v < VALUES; v++) {
+            Map<String, String> next = new HashMap<>(wanted);
+            next.put("key" + key, "value" + v);
+            List<Map<String, String>> hosts = new ArrayList<>();
+            for (Map<String, String> host : named) {
+                if (matches(host, next)) {
+                    hosts.add(host);
+                }
+            }
+            nodes.add(hosts);
+            grow(next, key + 1, nodes);
+        }
+    }
+
+    private static boolean matches(Map<String, String> host, Map<String, String> wanted) {
+        for (Map.Entry<String, String> label : wanted.entrySet()) {
+            if (!label.getValue().equals(host.get(label.getKey()))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** The same nodes, all asked for at once; the hosts are put into the index first. */
+    @Benchmark
+    public int index() {
+        Subsets<Host> tree = new Subsets<>(KEYS);
+        for (int i = 0; i < HOSTS; i++) {
+            tree.add(new Host(), i, labels[i]);
+        }
+        return ask(tree, new int[] {-1, -1, -1, -1}, 0);
+    }
+
+    private static int ask(Subsets<Host> tree, int[] values, int key) {
+        int nodes = 0;
+        for (int v = 0; key < KEYS && v < VALUES; v++) {
+            values[key] = v;
+            tree.node(values.clone());
+            nodes += 1 + ask(tree, values, key + 1);
+            values[key] = -1;
+        }
+        return nodes;
+    }
+}
--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -1,19 +1,20 @@
 package larkbank;
 
+import static larkbank.Hashes.jump;
+import static larkbank.Hashes.mix;
+import static larkbank.Hashes.uniform;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * Every decision of the balancer. Its interface (types, events, actions) is LoadBalancer.java.
@@ -25,6 +26,12 @@
 
     /** Servers that a cell is meant to hold in each zone, and how far a tenant's cells exceed its share. */
     private static final double CELL_PER_ZONE = 4, OPEN_CELLS = 3;
+    /** Up to so many members a node is walked; of a larger one as many candidates are drawn, at most. */
+    private static final int WALK = 32, DRAWS = 256;
+    /** Candidates with room drawn for a cheap one; ejected ones looked at in turn. */
+    private static final int CHEAP = 4, TRIALS = 4;
+    /** Part of the count of cells that another count must differ by to be taken over. */
+    private static final double CELL_SLACK = 1.0 / 8;
     /** Deterministic subsetting: servers of a node that a sidecar keeps, beside what its rate asks for. */
     private static final int KEEP = 2;
     /** Spill once a node's pick costs this many times the next node's. */
@@ -63,8 +70,8 @@
     private static final int LOOK_WIDTH = 3, MAX_LOOKS = 4;
     /** Part of its time for which a request is held at most before a server has it. */
     private static final double HOLD = 0.45;
-    /** Parts of an aim: for which a report is fresh; after which a held request is looked at again. */
-    private static final double FRESH = 0.05, HELD_LOOK = 0.125;
+    /** Parts of an aim: for which a report is fresh; after which those that are held are looked at again. */
+    private static final double FRESH = 0.05, HELD_LOOK = 0.03;
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
     private static final double LIST_LINES = 8000;
     /** Kinds of timer, in the low bits of their tokens. */
@@ -73,50 +80,55 @@
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final double aimMicros, totalShare, rateSpan, probesPerRequest;
+    private final double aimMicros, rateSpan, probesPerRequest;
     private final boolean anySafe;
     private Limits limits;
     /** No server comes any more. */
     private boolean closing;
 
     private final Map<Long, Backend> backends = new LinkedHashMap<>();
-    /** The subset tree: a node is the list of the ready servers that carry all its labels. */
-    private List<Backend> ready = List.of();
-    private List<List<Backend>> zoneNodes = List.of(), cellNodes = List.of();
-    private List<List<List<Backend>>> zoneCellNodes = List.of();
+    /** The subset tree of the ready servers, by zone and cell. */
+    private final Subsets<Backend> tree = new Subsets<>(2);
+    private final int zones;
+    private int cells;
 
-    private int[][] tenantCells = new int[0][];
+    private int[][] tenantCells = new int[0][], ownCells = new int[0][];
     /** Many quiet sidecars for few servers: own in-flight and samples say little, connections cost much. */
     private boolean sparse;
     private final Map<String, Pending> requests = new HashMap<>();
     private final Map<Long, Pending> timers = new HashMap<>();
-    private final List<Pending> held = new ArrayList<>();
-    /** Requests in hand under each of the operators' bounds. */
-    private final Map<String, Integer> bounded = new HashMap<>();
+    private final HeldQueue<Pending> held;
+    private boolean looking;
+    /** Requests in hand and held under each of the operators' bounds. */
+    private final Tally inHand = new Tally(), waiting = new Tally();
     private long lastToken;
 
-    private final double[] usualMicros, tenantCredit, classFaults;
+    private final double[] usualMicros, classFaults;
+    private final int tenants;
+    private final Shares shares;
+    private final Fading rate, setup;
 
-    private double[] kindPace = {}, zonePace = {};
+    private final Means kindPace = new Means(1, POOL_WEIGHT), zonePace = new Means(1, POOL_WEIGHT);
     private double usualHint, retryTokens = RETRY_SAVED / 2;
     private long taken;
-    /** Further attempts within the look-back: when, and how many requests had been taken by then. */
-    private final ArrayDeque<long[]> extras = new ArrayDeque<>();
-    private final Set<Attempt> outstanding = new LinkedHashSet<>();
+    /** Further attempts against the requests taken, where the site sets a budget. */
+    private final WindowBudget extras;
+    /** Attempts by when they count as hanging; those that have ended are passed over. */
+    private final PriorityQueue<Attempt> outstanding =
+            new PriorityQueue<>(Comparator.comparingLong(a -> a.hangsAt));
     private double meanUse = Double.NaN, meanOthers = Double.NaN, admitted = 1;
-    private double rate, probeTokens, probeMicros, setupMicros;
-    private long startedAt, rateAt, setupAt, distrustedAt, idleTrust = Long.MAX_VALUE, sheddingLoggedAt;
+    private double probeTokens, probeMicros;
+    private long startedAt, distrustedAt, idleTrust = Long.MAX_VALUE, sheddingLoggedAt;
 
     private int home, ejected, askFailures;
 
     /** A server and all that this instance knows of it; kept by id when the tree is rebuilt. */
-    private static final class Backend {
+    private static final class Backend extends Subsets.Member {
         final long id;
         Server line;
         boolean usable, listed;
         /** Place in this instance's own stable order of servers. */
         final long order;
-        int cell, cells;
         /** Peak EWMA of latency in units of what is usual (NaN: no sample), and the plain EWMA. */
         double slowness = Double.NaN, pace = 1;
         long sampledAt;
@@ -150,11 +162,12 @@
         final int number;
         final long sentAt, idle;
         final double usual, load, expected;
+        final long hangsAt;
         final boolean fresh;
         boolean suspected;
         Result result;
 
-        Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm) {
+        Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm, double aim) {
             this.of = of;
             this.server = server;
             this.usual = usual;
@@ -162,17 +175,18 @@
             number = of.attempts.size();
             sentAt = now;
             expected = usual * Math.max(1, server.pace) * (1 + load);
+            hangsAt = now + 1 + (long) Math.max(aim / 2, HANGING * expected);
             fresh = !warm;
             idle = warm ? now - server.usedAt : 0;
         }
     }
 
     /** A request from its arrival until the last of its attempts has ended. */
-    private static final class Pending {
+    private static final class Pending extends HeldQueue.Item {
         Request request;
         RequestClass rules;
         long arrivedAt, aimAt, luck;
-        boolean over, streaming, queued, beyondShare;
+        boolean over, streaming, beyondShare;
         int requestClass, tenant, cell, out, looks;
         final List<Attempt> attempts = new ArrayList<>(2);
     }
@@ -181,8 +195,13 @@
         this.settings = settings;
         this.actions = actions;
         limits = settings.limits();
+        Rules rules = settings.rules();
+        extras = rules.lookBackMicros() == 0 ? null
+                : new WindowBudget(rules.lookBackMicros(), rules.extraFloor(), rules.extraPerRequest());
         random = new SplittableRandom(settings.seed());
+        zones = Math.max(1, settings.zones().size());
         int classes = settings.classes().size();
+        held = new HeldQueue<>(2 * classes);
         usualMicros = new double[classes];
         classFaults = new double[classes];
         double aims = 0;
@@ -197,11 +216,12 @@
         }
         aimMicros = aims / classes;
 
-        totalShare = settings.tenants().stream().mapToDouble(Tenant::share).sum();
+        shares = new Shares(settings.tenants().stream().map(Tenant::share).toList(), SHARE_SLACK);
         anySafe = safe;
-        tenantCredit = new double[Math.max(1, settings.tenants().size())];
-        Arrays.fill(tenantCredit, SHARE_SLACK);
-        rateSpan = 2.0 * Math.max(1, settings.rules().fallMicros());
+        tenants = Math.max(1, settings.tenants().size());
+        rateSpan = 2.0 * Math.max(1, rules.fallMicros());
+        rate = new Fading(rateSpan, 0);
+        setup = new Fading(FAULT_MEMORY * aimMicros, SETUP_WEIGHT);
         boolean probing = limits.probing() && settings.reports() != ReportSource.NONE;
         probesPerRequest = !probing ? 0 : Math.min(4, PROBE_SPEND / Math.max(settings.probePrice(), 1e-6));
     }
@@ -222,100 +242,104 @@
             double wait = settings.rules().askEveryMicros() / 8.0 * (1 << Math.min(askFailures++, 3));
             later(now + 1 + (long) (wait * (0.5 + random.nextDouble())), ASK, null);
             if (askFailures == 1) {
-                actions.log("discovery failed: keeping the last list of " + ready.size() + " ready servers");
+                actions.log("discovery failed: keeping the last list of " + tree.size() + " ready servers");
             }
             return;
         }
         askFailures = 0;
-        boolean changed = ready.isEmpty();
         if (startedAt == 0) startedAt = now;
         if (kind != ListKind.CHANGES) for (Backend b : backends.values()) b.listed = false;
         for (Server line : list) {
             Backend b = backends.get(line.id());
-            if (b == null || b.line.startMicros() != line.startMicros()) b = anew(now, line.id(), b);
+            if (b == null || b.line.startMicros() != line.startMicros()) b = anew(line.id(), b);
             boolean usable = line.phase() == Phase.READY;
-            changed |= usable != b.usable || b.line == null || b.line.zone() != line.zone();
+            boolean moved = usable != b.usable || b.line == null || b.line.zone() != line.zone();
             b.line = line;
             b.usable = usable;
             b.listed = line.phase() != Phase.REMOVED;
+            if (moved) place(b);
+            if (!b.listed) gone(b);
         }
-        for (var all = backends.values().iterator(); all.hasNext();) {
-            Backend b = all.next();
-            if (b.listed) continue;
-            changed |= b.usable;
-            b.usable = false;
-            close(b);
-            if (b.out.isEmpty()) all.remove();
+        if (kind != ListKind.CHANGES) {
+            for (Backend b : List.copyOf(backends.values())) if (!b.listed) gone(b);
         }
-        if (changed) rebuild();
-        pump(now);
+        settle();
+        pump(now, null);
+    }
+
+    /** Not on the list any more; what is still out at it may yet be answered. */
+    private void gone(Backend b) {
+        b.usable = false;
+        place(b);
+        close(b);
+        if (b.out.isEmpty()) backends.remove(b.id, b);
     }
 
     /** A new id or start time is a new process: nothing learned of an old one holds. */
-    private Backend anew(long now, long id, Backend old) {
+    private Backend anew(long id, Backend old) {
         if (old != null) {
-            close(old);
-            old.usable = false;
+            old.listed = false;
+            gone(old);
         }
         backends.put(id, new Backend(id, settings.rank(), usualMicros.length));
         return backends.get(id);
     }
 
-    /** One pass makes a bitmap for each label value; a node is an intersection; the map has each id once. */
-    private void rebuild() {
-        ready = new ArrayList<>();
-        for (Backend b : backends.values()) if (b.usable) ready.add(b);
-        int zones = Math.max(1, settings.zones().size());
-        int cells = Math.max(ready.size() < 4 ? 1 : 2, (int) (0.5 + ready.size() / (CELL_PER_ZONE * zones)));
-        sparse = settings.replicas() > ready.size();
-        if (sparse) ready.sort(Comparator.comparingLong(b -> b.order));
-        List<BitSet> byZone = bitmaps(zones), byCell = bitmaps(cells);
-        for (int i = 0; i < ready.size(); i++) {
-            Backend b = ready.get(i);
-            if (b.cells != cells) b.cell = ranked(b.id, cells)[0];
-            b.cells = cells;
-            if (b.line.zone() >= 0 && b.line.zone() < zones) byZone.get(b.line.zone()).set(i);
-            byCell.get(b.cell).set(i);
+    /** Takes a server to where it belongs in the tree: out of it, or in under its zone and cell. */
+    private void place(Backend b) {
+        if (b.isIn()) tree.remove(b);
+        if (!b.usable) return;
+        int zone = b.line.zone() < zones ? Math.max(Subsets.ANY, b.line.zone()) : Subsets.ANY;
+        tree.add(b, sparse ? b.order : mix(b.id, -1), zone, jump(mix(b.id, 0), Math.max(1, cells)));
+    }
+
+    /** After a change: the count of cells and what hangs on it. Another count moves servers, so it is taken
+     * over only where it differs by more than a part: a list that flaps does not move a fleet. */
+    private void settle() {
+        int count = tree.size();
+        int wanted = Math.max(count < 4 ? 1 : 2, (int) (0.5 + count / (CELL_PER_ZONE * zones)));
+        boolean many = settings.replicas() > count;
+        if (many != sparse || cells == 0 || Math.abs(wanted - cells) > cells * CELL_SLACK) {
+            boolean others = wanted != cells;
+            sparse = many;
+            cells = wanted;
+            tree.clear();
+            for (Backend b : backends.values()) place(b);
+            if (others) openCells();
         }
-        cellNodes = byCell.stream().map(this::node).toList();
-        zoneNodes = byZone.stream().map(this::node).toList();
-        zoneCellNodes = byZone.stream().map(zone -> byCell.stream().map(cell -> {
-            BitSet both = (BitSet) zone.clone();
-            both.and(cell);
-            return node(both);
-        }).toList()).toList();
-
         home = homeZone();
-        tenantCells = new int[tenantCredit.length][];
+    }
+
+    /** A tenant's cells are the same at every sidecar. Where its cells hold more servers than this sidecar
+     * can keep connections to, it uses some of them only, others than the next sidecar does. */
+    private void openCells() {
+        tenantCells = new int[tenants][];
+        ownCells = new int[tenants][];
+        int most = (int) Math.max(2, limits.connections() / (2 * CELL_PER_ZONE));
         for (int t = 0; t < tenantCells.length; t++) {
             double share = t < settings.tenants().size() ? settings.tenants().get(t).share() : 1;
             int open = Math.min(cells, Math.max(2, (int) Math.ceil(OPEN_CELLS * share * cells)));
-            tenantCells[t] = Arrays.copyOf(ranked(~t, cells), open);
+            tenantCells[t] = Arrays.copyOf(ranked(~t, IntStream.range(0, cells)), open);
+            ownCells[t] = open <= most ? tenantCells[t]
+                    : Arrays.copyOf(ranked(settings.rank(), Arrays.stream(tenantCells[t])), most);
         }
     }
 
-    private static List<BitSet> bitmaps(int count) {
-        return Stream.generate(BitSet::new).limit(count).toList();
-    }
-
-    private List<Backend> node(BitSet bits) {
-        List<Backend> members = new ArrayList<>(bits.cardinality());
-        for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) members.add(ready.get(i));
-        return members;
-    }
-
     /** Rendezvous hashing: the cells in the order of their hash with the id, so a new count moves few. */
-    private static int[] ranked(long id, int cells) {
-        return IntStream.range(0, cells).boxed().sorted(Comparator.comparingLong(c -> mix(id, c)))
-                .mapToInt(c -> c).toArray();
+    private static int[] ranked(long id, IntStream cells) {
+        return cells.boxed().sorted(Comparator.comparingLong(c -> mix(id, c))).mapToInt(c -> c).toArray();
     }
 
-    /** Weighted rendezvous hashing: one of these cells, in proportion to its servers in the home zone. */
+    /** One of these cells by the id, in proportion to its servers in the home zone: weighted rendezvous, or,
+     * where they are many, the first of a row of hashed cells that a hash lets in by its weight. */
     private int first(long id, int[] among) {
         int best = among[0];
         double bestScore = Double.NEGATIVE_INFINITY;
-        for (int cell : among) {
-            double score = Math.log(uniform(id, cell)) / (zoneCellNodes.get(home).get(cell).size() + 0.01);
+        for (int i = 0; i < Math.min(WALK, among.length); i++) {
+            int cell = among.length <= WALK ? among[i] : among[jump(mix(id, i), among.length)];
+            int weight = tree.node(home, cell).size();
+            if (among.length > WALK && uniform(id, ~i) * 2 * CELL_PER_ZONE < weight) return cell;
+            double score = Math.log(uniform(id, cell)) / (weight + 0.01);
             if (score > bestScore) best = cell;
             bestScore = Math.max(bestScore, score);
         }
@@ -324,27 +348,21 @@
 
     /** The zone used: where the own has too few servers, some settle elsewhere. Harm: needless crossings. */
     private int homeZone() {
-        double fair = ready.size() / (double) zoneNodes.size();
-        int own = Math.min(Math.max(0, settings.zone()), zoneNodes.size() - 1);
-        if (!sparse || zoneNodes.get(own).size() >= fair * uniform(settings.rank(), 0)) return own;
-        double spare = zoneNodes.stream().mapToDouble(z -> Math.max(0, z.size() - fair)).sum();
+        double fair = tree.size() / (double) zones;
+        int own = Math.min(Math.max(0, settings.zone()), zones - 1);
+        if (!sparse || zoneSize(own) >= fair * uniform(settings.rank(), 0)) return own;
+        double spare = 0;
+        for (int z = 0; z < zones; z++) spare += Math.max(0, zoneSize(z) - fair);
         double left = spare * uniform(settings.rank(), 1);
-        for (int z = 0; z < zoneNodes.size(); z++) {
-            left -= Math.max(0, zoneNodes.get(z).size() - fair);
+        for (int z = 0; z < zones; z++) {
+            left -= Math.max(0, zoneSize(z) - fair);
             if (left < 0) return z;
         }
         return own;
     }
 
-    private static double uniform(long id, long salt) {
-        return (mix(id, salt) >>> 11) * 0x1.0p-53;
-    }
-
-    private static long mix(long id, long cell) {
-        long h = id * 0x9E3779B97F4A7C15L + (cell + 1) * 0xC2B2AE3D27D4EB4FL;
-        h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
-        h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
-        return h ^ (h >>> 31);
+    private int zoneSize(int zone) {
+        return tree.node(zone, Subsets.ANY).size();
     }
 
     // ---- Requests
@@ -355,7 +373,7 @@
         p.request = request;
         p.requestClass = Math.min(Math.max(0, request.requestClass()), usualMicros.length - 1);
         p.rules = settings.classes().get(p.requestClass);
-        p.tenant = Math.min(Math.max(0, request.tenant()), tenantCredit.length - 1);
+        p.tenant = Math.min(Math.max(0, request.tenant()), tenants - 1);
         p.arrivedAt = now;
         p.aimAt = now + p.rules.aimMicros() + (long) (p.rules.aimStretch() * request.hintMicros());
         if (requests.putIfAbsent(request.id(), p) != null) return;
@@ -364,17 +382,18 @@
                     : USUAL_WEIGHT * (request.hintMicros() - usualHint);
         }
         p.luck = random.nextLong();
-        countShare(p);
-        int[] open = tenantCells.length == 0 ? new int[] {0} : tenantCells[p.tenant];
+        p.beyondShare = shares.spend(p.tenant);
+        int[] open = cells == 0 ? new int[] {0} : byKey(p) ? tenantCells[p.tenant] : ownCells[p.tenant];
         p.cell = byKey(p) ? first(request.key(), open)
                 : sparse ? first(settings.rank(), open) : open[random.nextInt(open.length)];
         retryTokens = Math.min(RETRY_SAVED, retryTokens + RETRY_SHARE);
         taken++;
-        rate = rate * Math.exp(-(now - rateAt) / rateSpan) + admitted / rateSpan;
-        rateAt = now;
+        rate.count(now, admitted);
         watch(now);
         if (requests.size() > limits.open()) makeRoom(now, p, null);
-        for (Bound b : request.terms().bounds()) if (count(b, 1) > b.open() && !p.over) makeRoom(now, p, b);
+        for (Bound b : request.terms().bounds()) {
+            if (inHand.add(b.name(), 1) > b.open() && !p.over) makeRoom(now, p, b);
+        }
         if (p.over) return;
         if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
             // No time is left for a look or a timer (incident i0f9bed: an arrival at its own deadline).
@@ -389,24 +408,21 @@
         } else admit(now, p);
     }
 
-    /**
-     * Past the most that the instance, or the operators under this bound, may have in hand, the held or new
-     * request that is worth least is refused, of equals the oldest: its time is the shortest, and a client
-     * that can't get in loses its own.
-     */
+    /** Past the most in hand, at all or under this bound, the held or new request that is worth least is
+     * refused, of equals the oldest: its time is the shortest, and a client that can't get in loses its
+     * own. */
     private void makeRoom(long now, Pending fresh, Bound within) {
         Pending least = null;
-        for (Pending p : held) {
-            if (p != fresh && counts(p, within) && (least == null || value(p) < value(least))) least = p;
+        for (int lot = 0; lot < 2 * usualMicros.length; lot++) {
+            Pending p = held.oldest(lot, x -> x != fresh && counts(x, within));
+            if (p != null && (least == null || value(p) < value(least)
+                    || value(p) == value(least) && held.isBefore(p, least))) {
+                least = p;
+            }
         }
         end(now, least == null || value(fresh) < value(least) ? fresh : least);
     }
 
-    private int count(Bound b, int change) {
-        Integer now = bounded.merge(b.name(), change, (x, y) -> x + y == 0 ? null : x + y);
-        return now == null ? 0 : now;
-    }
-
     private static boolean counts(Pending p, Bound within) {
         if (within == null) return true;
         for (Bound b : p.request.terms().bounds()) if (b.name().equals(within.name())) return true;
@@ -417,13 +433,17 @@
     private void boundHeld(long now, Pending fresh) {
         if (held.size() > limits.held()) makeRoom(now, fresh, null);
         for (Bound b : fresh.request.terms().bounds()) {
-            if (held.size() <= b.held() || !fresh.queued) continue;
-            int count = 0;
-            for (Pending p : held) if (counts(p, b)) count++;
-            if (count > b.held()) makeRoom(now, fresh, b);
+            if (fresh.isHeld() && waiting.of(b.name()) > b.held()) makeRoom(now, fresh, b);
         }
     }
 
+    private void hold(Pending p, boolean hold) {
+        if (hold == p.isHeld()) return;
+        if (hold) held.add(p, 2 * p.requestClass + (p.beyondShare ? 1 : 0));
+        else held.remove(p);
+        for (Bound b : p.request.terms().bounds()) waiting.add(b.name(), hold ? 1 : -1);
+    }
+
     private double value(Pending p) {
         return p.rules.worth() * (p.beyondShare ? settings.overShareWorth() : 1);
     }
@@ -437,25 +457,15 @@
         return settings.warmKeys() && p.request.key() >= 0;
     }
 
-    /** Every request fills each tenant's account by its share; so no total rate has to be known. */
-    private void countShare(Pending p) {
-        if (totalShare <= 0) return;
-        for (int t = 0; t < settings.tenants().size(); t++) {
-            double share = settings.tenants().get(t).share() / totalShare;
-            tenantCredit[t] = Math.min(SHARE_SLACK, tenantCredit[t] + share);
-        }
-        p.beyondShare = tenantCredit[p.tenant] < 1;
-        tenantCredit[p.tenant] = Math.max(-SHARE_SLACK, tenantCredit[p.tenant] - 1);
-    }
-
     /** Where only probes tell the load, look before the leap: hold the request for one usual probe time. */
     private boolean look(long now, Pending p) {
-        if (probesPerRequest == 0 || ready.isEmpty()) return false;
+        if (probesPerRequest == 0 || tree.size() == 0) return false;
         if (p.looks++ == 0) probeTokens = Math.min(4 * probesPerRequest, probeTokens + probesPerRequest);
         int asked = 0;
-        for (List<Backend> node : path(p)) {
-            for (Backend b : node) {
+        for (Roster<Backend> node : path(p)) {
+            for (int i = 0; i < Math.min(DRAWS, node.size()); i++) {
                 if (asked >= LOOK_WIDTH || probeTokens < 1) break;
+                Backend b = node.get(node.size() <= DRAWS ? i : random.nextInt(node.size()));
                 boolean stale = b.probedAt == 0 || now - b.probedAt > aimMicros * FRESH;
                 if (stale && connectable(now, p, b) && b.openUntil == 0 && now >= b.pausedUntil) {
                     probeTokens--;
@@ -468,36 +478,37 @@
         return asked > 0;
     }
 
-    private List<List<Backend>> path(Pending p) {
-        int cell = p.cell % cellNodes.size();
-        return List.of(zoneCellNodes.get(home).get(cell), cellNodes.get(cell), zoneNodes.get(home), ready);
+    private List<Roster<Backend>> path(Pending p) {
+        int cell = p.cell % cells;
+        return List.of(tree.node(home, cell), tree.node(Subsets.ANY, cell), tree.node(home, Subsets.ANY),
+                tree.node(Subsets.ANY, Subsets.ANY));
     }
 
     /** Sends the request, or holds it in the queue. */
     private void admit(long now, Pending p) {
-        if (p.over || p.queued) return;
-        p.queued = true;
-        held.add(p);
-        pump(now);
-        if (p.queued && closing) end(now, p);
-        else if (p.queued) boundHeld(now, p);
-        if (!p.queued) return;
-        waitOn(now, p);
+        if (p.over || p.isHeld()) return;
+        hold(p, true);
+        pump(now, null);
+        if (p.isHeld() && closing) end(now, p);
+        else if (p.isHeld()) boundHeld(now, p);
+        if (!p.isHeld()) return;
+        later(Math.max(now + 1, lastUseful(p)), HELD, p);
+        lookAgain(now);
         if (now - sheddingLoggedAt < 10 * aimMicros) return;
         sheddingLoggedAt = now;
         actions.log("holding: " + held.size() + " requests wait, no server has room");
     }
 
-    private void waitOn(long now, Pending p) {
-        later(Math.max(now + 1, Math.min(lastUseful(p), now + (long) (aimMicros * HELD_LOOK))), HELD, p);
+    /** One timer for all that are held, however many: what holds them back may end with time alone. */
+    private void lookAgain(long now) {
+        if (looking || held.size() == 0) return;
+        looking = true;
+        later(now + 1 + (long) (aimMicros * HELD_LOOK), HELD, null);
     }
 
-    /**
-     * Until when a held request may still earn something; after that it is refused, which costs nothing.
-     * Where more than half of the requests that may be in hand are, one that no server may have is refused
-     * before half of its time: its client can still try again, and its connection is free for what is in
-     * time.
-     */
+    /** Until when a held request may still earn something; after that it is refused, which costs nothing.
+     * Where more than half of those that may be in hand are, one that no server may have goes before half of
+     * its time: its client can still try again, and its connection is free for what is in time. */
     private long lastUseful(Pending p) {
         long end = p.request.deadlineMicros() - 2 * settings.tickMicros();
         if (mayHaveRun(p) == null && requests.size() > limits.open() / 2) {
@@ -507,26 +518,27 @@
         return end;
     }
 
-    /** Serves the queue while servers have room: inside a share first, of equals the newest. */
-    private void pump(long now) {
-        while (!held.isEmpty()) {
-            Pending best = null;
-            for (Pending p : held) if (best == null || best.beyondShare || !p.beyondShare) best = p;
+    /** Serves the queue while servers have room: inside a share first, of equals the newest. A server that
+     * has just come free is asked for by name, since draws from a large fleet would miss it. */
+    private void pump(long now, Backend freed) {
+        while (held.size() > 0) {
+            Pending best = held.newest(0) != null ? held.newest(0) : held.newest(1);
             Backend server = choose(now, best);
+            if (server == null && freed != null && freed.isIn() && hasRoom(now, best, freed, tree.size())) {
+                server = freed;
+            }
             if (server == null) return;
-            held.remove(best);
-            best.queued = false;
+            hold(best, false);
             send(now, best, server, 0);
         }
     }
 
-    /**
-     * A second copy beside what is out, where the operators asked for one: after the time that they set, of a
-     * request that may repeat, to a server that has room, within cap and retry budget as any further attempt.
-     */
+    /** A second copy beside what is out, where the operators asked for one: after the time that they set,
+     * of a request that may repeat, to a server that has room, within cap and retry budget as any further
+     * attempt. */
     private void copy(long now, Pending p) {
         int copies = p.request.terms().copies();
-        if (p.queued || p.out == 0 || p.out > copies || p.rules.effect() == Effect.UNSAFE
+        if (p.isHeld() || p.out == 0 || p.out > copies || p.rules.effect() == Effect.UNSAFE
                 || p.attempts.size() >= most(p) || !extraAllowed(now)) {
             return;
         }
@@ -549,14 +561,15 @@
 
     /** Walks from the narrowest node; widens where one is empty, and spills where it is much dearer. */
     private Backend choose(long now, Pending p) {
-        if (ready.isEmpty()) return null;
+        if (tree.size() == 0) return null;
         Backend best = null;
         double bestCost = 0;
         // While idle connections die, fewer servers keep each connection in use.
         int keep = (trust(now) == Long.MAX_VALUE ? KEEP : 0) + (int) Math.ceil(rate(now) * usual(p));
         if (!sparse) keep = Integer.MAX_VALUE;
-        for (List<Backend> node : path(p)) {
-            Backend pick = pick(now, p, node, keep, best != null);
+        for (Roster<Backend> node : path(p)) {
+            Backend pick = node.size() > WALK && (!sparse || byKey(p)) ? draw(now, p, node, best != null)
+                    : pick(now, p, node, keep, best != null);
             if (pick == null || pick == best) continue;
             double cost = cost(now, p, pick);
             if (best == null || bestCost > cost * SPILL) {
@@ -567,33 +580,36 @@
         return best;
     }
 
-    /**
-     * The design's pick: two ready servers at random (reservoir sampling), the lower cost wins; by the key's
-     * hash where servers remember keys, the first unless much dearer; in a wider node the cheapest, not a
-     * second bad draw. One of many sidecars looks at the first of its own order only (deterministic
-     * subsetting), so that it keeps few connections; the next ones step in for the sick and full. Harm: fewer
-     * servers to choose from.
-     */
-    private Backend pick(long now, Pending p, List<Backend> node, int keep, boolean cheapest) {
+    /** The design's pick: two ready servers at random (reservoir sampling), the lower cost wins; by the key's
+     * hash where servers remember keys, the first unless much dearer; in a wider node the cheapest. One of
+     * many sidecars looks at the first of its own order only (deterministic subsetting), so that it keeps few
+     * connections; the next ones step in for the sick and full. Harm: fewer servers to choose from. */
+    private Backend pick(long now, Pending p, Roster<Backend> node, int keep, boolean cheapest) {
         boolean keyed = !cheapest && byKey(p);
         int most = keyed ? node.size() : Math.min(keep, node.size());
         int count = 0;
         Backend first = null, second = null;
-        for (Backend b : node) {
-            if (count >= most) break;
+        for (int i = 0; i < node.size() && count < most && i < DRAWS + KEEP; i++) {
+            Backend b = node.get(i);
             if (!hasRoom(now, p, b, most)) continue;
             if (!cheapest && (b.openUntil != 0 || coldShare(now, b) < 1)) return b;
             int slot = count < 2 ? count : random.nextInt(count + 1);
-            count++;
+            if (count++ == 1 && !cheapest && !keyed && random.nextBoolean()) {
+                // Of two alike the first wins, and the second member of a node would never be that.
+                second = first;
+                slot = 0;
+            }
             if (cheapest) {
                 if (first == null || cost(now, p, b) < cost(now, p, first)) first = b;
             } else if (!keyed) {
                 first = slot == 0 ? b : first;
                 second = slot == 1 ? b : second;
-            } else if (first == null || mix(p.request.key(), b.id) > mix(p.request.key(), first.id)) {
+            } else if (first == null || mix(p.request.key(), b.id) > mix(p.request.key(),
+                    first.id)) {
                 second = first;
                 first = b;
-            } else if (second == null || mix(p.request.key(), b.id) > mix(p.request.key(), second.id)) {
+            } else if (second == null || mix(p.request.key(), b.id) > mix(p.request.key(),
+                    second.id)) {
                 second = b;
             }
         }
@@ -601,11 +617,40 @@
         return second == null || cost(now, p, first) <= bias * cost(now, p, second) ? first : second;
     }
 
+    /** The same in a node too large to be walked: candidates are drawn until two with room are found, a
+     * bounded number of times; by key along the ring of the members from the key's hash. The ejected, which
+     * no draw takes, have their trials in turn. One member, drawn once for each request, has the chance of a
+     * cold one: a share of its fair part, as if all were walked. */
+    private Backend draw(long now, Pending p, Roster<Backend> node, boolean cheapest) {
+        int size = node.size();
+        for (int i = 0; !cheapest && i < Math.min(TRIALS, node.marked()); i++) {
+            Backend b = node.nextMarked();
+            if (hasRoom(now, p, b, size)) return b;
+        }
+        Backend lucky = node.get((int) (uniform(p.luck, size) * size));
+        if (!cheapest && lucky.openUntil == 0 && coldShare(now, lucky) < 1 && hasRoom(now, p, lucky, 1)) {
+            return lucky;
+        }
+        int ring = !cheapest && byKey(p) ? node.from(mix(p.request.key(), -1)) : -1;
+        int wanted = cheapest ? CHEAP : 2;
+        Backend first = null, other = null;
+        for (int i = 0; i < DRAWS && wanted > 0; i++) {
+            Backend b = node.get(ring >= 0 ? (ring + i) % size : random.nextInt(size));
+            if (b == first || b.openUntil != 0 || coldShare(now, b) < 1 || !hasRoom(now, p, b,
+                    size)) continue;
+            wanted--;
+            if (first == null) first = b;
+            else if (other == null || cost(now, p, b) < cost(now, p, other)) other = b;
+        }
+        double bias = ring >= 0 ? SPILL : 1;
+        return other == null || cost(now, p, first) <= bias * cost(now, p, other) ? first : other;
+    }
+
     private double cost(long now, Pending p, Backend b) {
         double works = 1 - fault(now, b, p.requestClass);
         double cost = slowness(now, b) * (1 + load(now, b)) / (works * works + 0.01);
         if (!Double.isNaN(meanUse)) cost /= 1.1 - Math.min(1, use(now, b));
-        if (sparse && !warm(now, b)) cost *= NEW_CONNECTION + SETUP_COST * setup(now) / aimMicros;
+        if (sparse && !warm(now, b)) cost *= NEW_CONNECTION + SETUP_COST * setup.get(now) / aimMicros;
         return cost;
     }
 
@@ -626,37 +671,25 @@
         return b.usedAt != 0 && now - b.usedAt < Math.min(trust(now), limits.idleMicros());
     }
 
-    /**
-     * Where set-ups have taken too long lately, a new connection brings no answer in time. But only a set-up
+    /** Where set-ups have taken too long lately, a new connection brings no answer in time. But only a set-up
      * shows that they are short again: a server with nothing out is tried all the same, one of a crowd of
-     * sidecars once an aim. Without that, a slow spell of this process's own, which looks like slow set-ups,
-     * kept most of an idle fleet out of reach for seconds. Harm: late answers where set-ups really are slow.
-     */
+     * sidecars once an aim. Without that, a slow spell of this process's own kept most of an idle fleet out
+     * of
+     * reach for seconds. Harm: late answers where set-ups really are slow. */
     private boolean connectable(long now, Pending p, Backend b) {
         if (warm(now, b)) return true;
-        boolean trial = b.out.isEmpty() && (!sparse || now - setupAt > aimMicros);
-        return now >= b.connectAt && (trial || now + setup(now) + usual(p) <= p.aimAt);
-    }
-
-    private double setup(long now) {
-        return setupMicros * Math.exp(-(now - setupAt) / (FAULT_MEMORY * aimMicros));
-    }
-
-    private void setUp(long now, double micros) {
-        setupMicros = setup(now) + SETUP_WEIGHT * (micros - setup(now));
-        setupAt = now;
+        boolean trial = b.out.isEmpty() && (!sparse || now - setup.at() > aimMicros);
+        return now >= b.connectAt && (trial || now + setup.get(now) + usual(p) <= p.aimAt);
     }
 
     private long trust(long now) {
         return now - distrustedAt < FAULT_MEMORY * aimMicros ? idleTrust : Long.MAX_VALUE;
     }
 
-    /**
-     * An attempt hangs, and nothing has come from the server since that was seen. Once something has, it is
-     * the connection that fell silent, or that request: it says nothing of the next one on another
-     * connection, and waiting for its deadline kept most of a fleet out where a few connections die each
-     * second. Harm: a server that is slow rather than silent is sent more, within its limit.
-     */
+    /** An attempt hangs, and nothing has come from the server since that was seen. Once something has, it is
+     * the connection or that request: waiting for its deadline kept most of a fleet out where a few
+     * connections die each second. Harm: a server that is slow rather than silent is sent more, within its
+     * limit. */
     private static boolean silent(Backend b) {
         return b.suspects > 0 && b.usedAt <= b.suspectedAt;
     }
@@ -677,15 +710,11 @@
 
     /** Drifts to what is usual for kind and zone between samples, and starts there. */
     private double known(long now, Backend b) {
-        double usual = pooled(kindPace, b.line.kind()) * pooled(zonePace, b.line.zone());
+        double usual = kindPace.get(b.line.kind()) * zonePace.get(b.line.zone());
         if (Double.isNaN(b.slowness)) return usual;
         return usual + (b.slowness - usual) * Math.exp(-(now - b.sampledAt) / (2 * DECAY * aimMicros));
     }
 
-    private static double pooled(double[] paces, int of) {
-        return of >= 0 && of < paces.length ? paces[of] : 1;
-    }
-
     /** Own requests in flight, and those of others by the server's last report; an old one says the mean. */
     private double load(long now, Backend b) {
         if (Double.isNaN(meanOthers)) return b.out.size();
@@ -714,16 +743,15 @@
         }
         if (!Double.isNaN(meanOthers)) {
             double load = load(now, b);
-            double end = now + HEADROOM * usual(p) * b.pace * (1 + load) + (warm(now, b) ? 0 : setup(now));
+            double end = now + HEADROOM * usual(p) * b.pace * (1 + load) + (warm(now, b) ? 0
+                    : setup.get(now));
             return end <= p.aimAt || load < 1 && p.rules.lateShare() > 0;
         }
         return b.out.size() < b.limit && (sparse || now >= b.restUntil);
     }
 
-    /**
-     * Slow start as a sum over all instances: each request that walks to a node has one chance, by that share
-     * of what one of its servers is sent. Nothing is saved up, so no burst can come of it.
-     */
+    /** Slow start as a sum over all instances: each request that walks to a node has one chance, by that
+     * share of what one of its servers is sent. Nothing is saved up, so no burst can come of it. */
     private boolean chance(Pending p, Backend b, double share, int among) {
         return uniform(p.luck, b.id) < SLOW_START * share * admitted / Math.max(1, among);
     }
@@ -739,7 +767,7 @@
     /** Requests a microsecond that this instance takes and admits. */
     private double rate(long now) {
         double seen = 1 - Math.exp(-Math.max(aimMicros, now - startedAt) / rateSpan);
-        return rate * Math.exp(-(now - rateAt) / rateSpan) / seen;
+        return rate.get(now) / seen;
     }
 
     // ---- The gate: every attempt goes through here
@@ -781,7 +809,7 @@
             return;
         }
         double load = Double.isNaN(meanOthers) ? 0 : load(now, b);
-        Attempt a = new Attempt(p, b, now, usual(p), load, warm(now, b));
+        Attempt a = new Attempt(p, b, now, usual(p), load, warm(now, b), aimMicros);
         if (a.fresh && b.opened && b.out.size() == 0) {
             b.opened = false;
             b.usedAt = 0;
@@ -789,7 +817,7 @@
         }
         if (a.number > 0) {
             retryTokens--;
-            if (settings.rules().lookBackMicros() > 0) extras.addLast(new long[] {now, taken});
+            if (extras != null) extras.spend(now, taken);
         }
         outstanding.add(a);
         p.attempts.add(a);
@@ -802,19 +830,11 @@
     }
 
     /**
-     * The retry budget. Where the site sets one, no window of its length may hold more than the floor and a
-     * part of the requests taken in it; the worst window begins with a further attempt, so each of the last
-     * ones is tried as the first. With a floor below one nothing could be sure, and nothing is sent again.
+     * The retry budget. Where the site sets one below one nothing could be sure, and nothing is sent again.
      */
     private boolean extraAllowed(long now) {
-        Rules rules = settings.rules();
-        if (rules.lookBackMicros() == 0) return retryTokens >= 1;
-        extras.removeIf(e -> now - e[0] > rules.lookBackMicros());
-        int count = extras.size() + 1;
-        for (long[] e : extras) {
-            if (count-- > rules.extraFloor() + rules.extraPerRequest() * (taken - e[1])) return false;
-        }
-        return rules.extraFloor() >= 1;
+        return extras == null ? retryTokens >= 1
+                : extras.allows(now, taken) && settings.rules().extraFloor() >= 1;
     }
 
     /** The single place where this instance ends a request. */
@@ -832,9 +852,8 @@
     private void over(Pending p) {
         if (p.over) return;
         p.over = true;
-        for (Bound b : p.request.terms().bounds()) count(b, -1);
-        if (p.queued) held.remove(p);
-        p.queued = false;
+        hold(p, false);
+        for (Bound b : p.request.terms().bounds()) inHand.add(b.name(), -1);
         boolean cancel = limits.cancelling();
         for (Attempt a : p.attempts) if (cancel && a.result == null) actions.cancel(p.request.id(), a.number);
         forget(p);
@@ -856,29 +875,25 @@
         a.result = o.result();
         p.out--;
         a.server.out.remove(a);
-        outstanding.remove(a);
+        if (!a.server.listed && a.server.out.isEmpty()) backends.remove(a.server.id, a.server);
         if (a.suspected) a.server.suspects--;
         learn(now, a, o);
         if (o.closed()) {
             over(p);
-        } else if (!p.over && p.out == 0 && !p.queued) again(now, p);
+        } else if (!p.over && p.out == 0 && !p.isHeld()) again(now, p);
         forget(p);
-        pump(now);
+        pump(now, a.server);
     }
 
     /** A further attempt, if effect, cap, retry budget and the time left allow it; else the end. */
     private void again(long now, Pending p) {
         boolean sensible = now < lastUseful(p) && p.attempts.size() < most(p) && !closing
-                && (mayRefuse(p) || p.rules.effect() == Effect.KEYED) && retryable(p);
+                && (mayRefuse(p) || p.rules.effect() == Effect.KEYED)
+                && p.attempts.stream().allMatch(a -> p.request.terms().retryOn().contains(a.result));
         if (sensible && extraAllowed(now)) admit(now, p);
         else end(now, p);
     }
 
-    private static boolean retryable(Pending p) {
-        for (Attempt a : p.attempts) if (!p.request.terms().retryOn().contains(a.result)) return false;
-        return true;
-    }
-
     private void learn(long now, Attempt a, Outcome o) {
         Backend b = a.server;
         int c = a.of.requestClass;
@@ -893,8 +908,8 @@
                 if (a.fresh && sparse && x > HANGING * a.usual) return;
                 sample(now, b, x / a.usual);
                 b.pace += 5 * USUAL_WEIGHT * (Math.min(x / a.usual, 4) - b.pace);
-                kindPace = pool(kindPace, b.line.kind(), x / a.usual);
-                zonePace = pool(zonePace, b.line.zone(), x / a.usual);
+                kindPace.add(b.line.kind(), Math.min(x / a.usual, 4));
+                zonePace.add(b.line.zone(), Math.min(x / a.usual, 4));
                 limit(now, a, o.elapsedMicros() / factor);
             }
             case FULL -> {
@@ -908,7 +923,7 @@
             }
             case NO_CONNECTION -> {
                 // At its limit, slow to set up, or down: only new connections stay away.
-                setUp(now, 2 * o.elapsedMicros());
+                setup.mean(now, 2 * o.elapsedMicros());
                 crowded();
                 b.usedAt = 0;
                 double wait = aimMicros * (1 << Math.min(b.connectFailures++, MAX_BACKOFF));
@@ -936,7 +951,7 @@
     private void answered(long now, Attempt a, long elapsed) {
         Backend b = a.server;
         int c = a.of.requestClass;
-        if (a.fresh) setUp(now, Math.max(0, elapsed - a.expected));
+        if (a.fresh) setup.mean(now, Math.max(0, elapsed - a.expected));
         b.usedAt = now;
         b.opened = true;
         b.connectFailures = 0;
@@ -962,18 +977,16 @@
         admitted = Math.max(ADMIT_LEAST, admitted * ADMIT_CUT);
     }
 
-    /** Looks at attempts without an answer for far longer than expected; the list is in order of sending. */
+    /** Looks at attempts without an answer for far longer than expected. */
     private void watch(long now) {
-        for (Attempt a : outstanding) {
-            if (now - a.sentAt < aimMicros / 2) break;
-            if (!a.suspected && now - a.sentAt > HANGING * a.expected) suspect(now, a, true);
+        while (!outstanding.isEmpty() && outstanding.peek().hangsAt <= now) {
+            Attempt a = outstanding.poll();
+            if (a.result == null && !a.suspected) suspect(now, a, true);
         }
     }
 
-    /**
-     * Silence. After an idle spell it is the connection that died: such spells are not trusted for a while,
-     * elsewhere either. While the server answers others it is the class. Else it is the server.
-     */
+    /** Silence. After an idle spell it is the connection that died: such spells are not trusted for a
+     * while, elsewhere either. While the server answers others it is the class. Else it is the server. */
     private void suspect(long now, Attempt a, boolean out) {
         Backend b = a.server;
         if (out) {
@@ -1001,14 +1014,6 @@
         classFaults[c] += POOL_WEIGHT * (1 - classFaults[c]);
     }
 
-    private static double[] pool(double[] paces, int of, double x) {
-        if (of < 0) return paces;
-        double[] all = of < paces.length ? paces : Arrays.copyOf(paces, of + 1);
-        if (all != paces) Arrays.fill(all, paces.length, of + 1, 1);
-        all[of] += POOL_WEIGHT * (Math.min(x, 4) - all[of]);
-        return all;
-    }
-
     /** Peak EWMA: up at once, down with time. */
     private void sample(long now, Backend b, double x) {
         boolean peak = Double.isNaN(b.slowness) || x > known(now, b);
@@ -1016,12 +1021,10 @@
         b.sampledAt = now;
     }
 
-    /**
-     * Concurrency limit by AIMD against the aim: keeps queues where answers are still in time. While a server
-     * reports free cores and the limit is what holds requests back, it grows by a whole slot, as in a slow
-     * start: so a restart, a peer's death or a burst is not answered by refusals. Harm: where reports come
-     * late a burst may queue for as long.
-     */
+    /** Concurrency limit by AIMD against the aim: keeps queues where answers are still in time. While a
+     * server reports free cores and the limit is what holds requests back, it grows by a whole slot, as in
+     * a slow start: so a restart, a peer's death or a burst is not answered by refusals. Harm: where
+     * reports come late a burst may queue for as long. */
     private void limit(long now, Attempt a, double elapsed) {
         Backend b = a.server;
         // Many sidecars share few cores: one request of each may be too many; below one, rest between sends.
@@ -1064,9 +1067,10 @@
     // ---- Outlier ejection and half-open trials
 
     private void eject(long now, Backend b, String why) {
-        if (!b.usable || b.openUntil == 0 && ejected + 1 > MAX_EJECTED * ready.size()) return;
+        if (!b.usable || b.openUntil == 0 && ejected + 1 > MAX_EJECTED * tree.size()) return;
         if (b.openUntil == 0) {
             ejected++;
+            tree.mark(b, true);
             actions.log("server " + b.id + " ejected: " + why);
         }
         double wait = aimMicros * (1 << Math.min(b.backoff++, MAX_BACKOFF));
@@ -1076,6 +1080,7 @@
 
     private void close(Backend b) {
         if (b.openUntil != 0) ejected--;
+        tree.mark(b, false);
         b.openUntil = 0;
     }
 
@@ -1087,7 +1092,7 @@
             probeMicros += POOL_WEIGHT * (Math.min(elapsedMicros, aimMicros / 10) - probeMicros);
             report(now, b, report, false);
         }
-        pump(now);
+        pump(now, b);
     }
 
     // ---- Other events
@@ -1110,14 +1115,15 @@
     }
 
     @Override
-    public void limits(long now, int open, int held) {
-        limits = limits.with(open, held);
+    public void limits(long now, int open, int held, int connections) {
+        limits = limits.with(open, held, connections);
+        openCells();
     }
 
     @Override
     public void closing(long now) {
         closing = true;
-        for (Pending p : List.copyOf(held)) end(now, p);
+        held.forEach(p -> end(now, p));
     }
 
     private void later(long at, int kind, Pending p) {
@@ -1131,6 +1137,15 @@
         int kind = (int) (token % TIMER_KINDS);
         if (kind == ASK) actions.subscribe();
         Pending p = timers.remove(token);
+        if (kind == HELD && p == null) {
+            looking = false;
+            held.forEach(q -> {
+                if (now >= lastUseful(q)) end(now, q);
+                else look(now, q);
+            });
+            pump(now, null);
+            lookAgain(now);
+        }
         if (p == null || p.over || p.streaming) return;
         if (kind == COPY) {
             copy(now, p);
@@ -1138,12 +1153,8 @@
             if (p.looks < MAX_LOOKS && choose(now, p) == null && look(now, p)) {
                 later(now + lookMicros(), LOOK, p);
             } else admit(now, p);
-        } else if (p.queued && now >= lastUseful(p)) {
+        } else if (p.isHeld() && now >= lastUseful(p)) {
             end(now, p);
-        } else if (p.queued) {
-            look(now, p);
-            waitOn(now, p);
-            pump(now);
-        }
+        } else if (p.isHeld()) later(lastUseful(p), HELD, p);
     }
 }
--- /dev/null
+++ b/src/main/java/larkbank/Hashes.java
@@ -0,0 +1,37 @@
+package larkbank;
+
+/** Hashes that must be the same in every sidecar and after every restart. */
+final class Hashes {
+
+    private Hashes() { }
+
+    /** An id with a salt, mixed as in SplitMix64 (Steele, Lea and Flood, 2014). */
+    static long mix(long id, long salt) {
+        long h = id * 0x9E3779B97F4A7C15L + (salt + 1) * 0xC2B2AE3D27D4EB4FL;
+        h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
+        h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
+        return h ^ (h >>> 31);
+    }
+
+    /** The same as a number from 0 to below 1. */
+    static double uniform(long id, long salt) {
+        return (mix(id, salt) >>> 11) * 0x1.0p-53;
+    }
+
+    /**
+     * Jump consistent hash (Lamping and Veach, 2014): one of so many buckets; one bucket more takes just its
+     * own part from the others.
+     *
+     * @param key evenly spread over all longs
+     * @param buckets 1 or more
+     */
+    static int jump(long key, int buckets) {
+        long bucket = -1;
+        for (long next = 0; next < buckets;) {
+            bucket = next;
+            key = key * 2862933555777941757L + 1;
+            next = (long) ((bucket + 1) * (0x1p31 / ((key >>> 33) + 1)));
+        }
+        return (int) bucket;
+    }
+}
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -57,18 +57,19 @@
 
     /**
      * What the site allows; open is how many requests an instance may have in hand, held how many of them may
-     * wait for a server.
+     * wait for a server, connections how many it may keep to servers.
      */
     record Limits(int attempts, boolean cancelling, boolean probing, boolean retryAdvice,
-            long maxRetryAdviceMicros, long idleMicros, int open, int held, boolean secondCopies) {
+            long maxRetryAdviceMicros, long idleMicros, int open, int held, boolean secondCopies,
+            int connections) {
         public Limits {
             require(open >= 0 && held >= 0, "a limit of requests is negative");
         }
 
-        /** The same with others for the requests in hand and for those of them that wait. */
-        public Limits with(int otherOpen, int otherHeld) {
+        /** The same with others for requests in hand, those of them that wait, and connections. */
+        public Limits with(int otherOpen, int otherHeld, int otherConnections) {
             return new Limits(attempts, cancelling, probing, retryAdvice, maxRetryAdviceMicros, idleMicros,
-                    otherOpen, otherHeld, secondCopies);
+                    otherOpen, otherHeld, secondCopies, otherConnections);
         }
     }
 
@@ -189,8 +190,8 @@
 
     void probed(long nowMicros, long server, Result result, long elapsedMicros, LoadReport report);
 
-    /** Other limits hold for the requests in hand from now on; those taken stay. */
-    default void limits(long nowMicros, int open, int held) { }
+    /** Other limits hold from now on; what is in hand stays. */
+    default void limits(long nowMicros, int open, int held, int connections) { }
 
     /** No server will come any more: what waits for one is given up, and nothing is tried again. */
     default void closing(long nowMicros) { }
--- a/src/main/java/larkbank/SettingsReader.java
+++ b/src/main/java/larkbank/SettingsReader.java
@@ -43,7 +43,7 @@
                         Json.whole(limits, "max_retry_after_us", 0),
                         Json.whole(limits, "conn_idle_us", Long.MAX_VALUE),
                         (int) Json.whole(limits, "open_cap", Integer.MAX_VALUE), Integer.MAX_VALUE,
-                        Json.flag(limits, "second_copies")),
+                        Json.flag(limits, "second_copies"), Integer.MAX_VALUE),
                 new Rules(Json.real(rules, "cold_from", 1), Json.whole(rules, "cold_us", 0),
                         Json.whole(rules, "fall_us", 0), Json.whole(rules, "ask_every_us", 0),
                         Json.real(rules, "extra_floor", 0), Json.real(rules, "extra_per_request", 0),
--- /dev/null
+++ b/src/main/java/larkbank/Shares.java
@@ -0,0 +1,38 @@
+package larkbank;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Accounts by share: everything that anyone spends fills all accounts by their shares, so no rate is known.
+ */
+final class Shares {
+
+    private final double[] shares;
+    private final double[] credit;
+    private final double slack;
+    private final boolean none;
+
+    /** With shares of any sum; an account may be ahead or behind by the slack. */
+    Shares(List<Double> shares, double slack) {
+        double sum = shares.stream().mapToDouble(s -> s).sum();
+        this.shares = shares.stream().mapToDouble(s -> sum <= 0 ? 0 : s / sum).toArray();
+        this.slack = slack;
+        none = sum <= 0;
+        credit = new double[shares.size()];
+        Arrays.fill(credit, slack);
+    }
+
+    /** Spends one of an account; whether that was beyond its share. Where shares are all 0 nothing is. */
+    boolean spend(int account) {
+        if (none) {
+            return false;
+        }
+        for (int i = 0; i < shares.length; i++) {
+            credit[i] = Math.min(slack, credit[i] + shares[i]);
+        }
+        boolean beyond = credit[account] < 1;
+        credit[account] = Math.max(-slack, credit[account] - 1);
+        return beyond;
+    }
+}
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -98,7 +98,8 @@
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                Math.min(l.open(), sockets / 3 / 8 * 7), l.held(), l.secondCopies());
+                Math.min(l.open(), sockets / 3 / 8 * 7), l.held(), l.secondCopies(),
+                serverConnections(sockets));
         return s.with(kept, s.discoveryOnAsk());
     }
 
--- a/src/main/java/larkbank/sidecar/Discovery.java
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -11,9 +11,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import larkbank.Addresses;
@@ -42,8 +45,10 @@
     private static final long SILENCE_MILLIS = 1_000;
     private static final String PATH = "/v1/servers";
     private static final long CONNECT_MICROS = 1_000_000;
-    /** Largest list: some thousand servers. */
-    private static final int MAX_LIST = 1024 * 1024;
+    /** Largest list: some ten thousand servers. */
+    static final int MAX_LIST = 8 * 1024 * 1024;
+    /** A list from this size on is read on a thread of its own: a megabyte would stop the loop for long. */
+    private static final int LARGE_LIST = 64 * 1024;
     /** Pause after an answer without news that came early; a watch goes on for 200 ms after an answer. */
     private static final long EARLY_MILLIS = 100;
 
@@ -55,6 +60,9 @@
 
     private InetSocketAddress address;
     private Peer peer;
+    /** The peer whose list is being read on the other thread. */
+    private Peer reading;
+    private ExecutorService readers;
     private boolean watching;
     private boolean closed;
     /** The next answer must be the whole list: the revision of another service says nothing. */
@@ -105,6 +113,9 @@
         closed = true;
         watching = false;
         drop();
+        if (readers != null) {
+            readers.shutdown();
+        }
     }
 
     private void ask() {
@@ -126,20 +137,47 @@
             fail("status " + answer.status().code());
             return;
         }
-        ServerList list;
+        byte[] text = ByteBufUtil.getBytes(answer.content());
+        boolean keep = HttpUtil.isKeepAlive(answer);
+        if (text.length < LARGE_LIST) {
+            read(text).accept(keep);
+            return;
+        }
+        Peer from = peer;
+        reading = from;
+        if (readers == null) {
+            readers = Executors.newSingleThreadExecutor(new DefaultThreadFactory("lists", true));
+        }
+        readers.execute(() -> {
+            Consumer<Boolean> read = read(text);
+            loop.execute(() -> {
+                // Whoever moved on meanwhile no longer wants it.
+                if (reading == from) {
+                    reading = null;
+                    read.accept(keep && peer == from);
+                }
+            });
+        });
+    }
+
+    /** Reads a list, on any thread; what comes of it is to be done on the loop, told if the peer stays. */
+    private Consumer<Boolean> read(byte[] text) {
         try {
-            list = reader.read(ByteBufUtil.getBytes(answer.content()));
+            ServerList list = reader.read(text);
+            return keep -> take(list, keep);
         } catch (IOException | RuntimeException e) {
-            fail("a malformed list: " + e.getMessage());
-            return;
+            return keep -> fail("a malformed list: " + e.getMessage());
         }
+    }
+
+    private void take(ServerList list, boolean keep) {
         if (whole && !list.complete()) {
             fail("changes in place of the whole list");
             return;
         }
         whole = false;
         revision = list.revision();
-        if (!HttpUtil.isKeepAlive(answer)) {
+        if (!keep) {
             drop();
         }
         boolean early = list.entries().isEmpty()
@@ -153,6 +191,7 @@
     }
 
     private void drop() {
+        reading = null;
         if (silence != null) {
             silence.cancel(false);
         }
@@ -208,7 +247,9 @@
         public void closed() {
             if (peer == this) {
                 peer = null;
-                fail("connection lost");
+                if (reading != this) {
+                    fail(link.failure());
+                }
             }
         }
     }
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMessage;
@@ -58,6 +59,7 @@
     /** A request has been sent and its answer not been told. */
     private boolean asked;
     private boolean down;
+    private String failure = "connection lost";
 
     /** Shows whether it holds a part of a further message, and takes no line of a head without a colon. */
     private static final class Decoder extends HttpResponseDecoder {
@@ -145,6 +147,11 @@
         channel.close();
     }
 
+    /** Why it is down, for people. */
+    String failure() {
+        return failure;
+    }
+
     private void down() {
         if (!down) {
             down = true;
@@ -207,6 +214,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             more = true;
+            if (cause instanceof TooLongFrameException) {
+                failure = "an answer that is too large: " + cause.getMessage();
+            }
             context.close();
         }
     }
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -65,7 +65,7 @@
     private Member create(PoolPlan p) {
         Config config = parts.config();
         Settings settings = config.settings().with(
-                config.settings().limits().with(p.requests(), p.queue()),
+                config.settings().limits().with(p.requests(), p.queue(), p.connections()),
                 p.discovered() && config.settings().discoveryOnAsk());
         return new Member(new Pool(parts.shared(), config, settings, p.connections(), parts.modules()),
                 p.discovered());
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -102,7 +102,7 @@
     /** Other limits hold from now on; what is in hand or open stays. */
     void limit(int connections, int requests, int queue) {
         servers.limit(connections);
-        tell(null, now -> module.limits(now, requests, queue));
+        tell(null, now -> module.limits(now, requests, queue, connections));
     }
 
     /**
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,6 +51,8 @@
     private final long idleMicros;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final Map<Attempt, Connection> busy = new HashMap<>();
+    /** All idle connections, the longest idle first: to find it costs the same in a fleet of any size. */
+    private final Set<Connection> idleOrder = new LinkedHashSet<>();
     private int open;
 
     /** One process at one address; after a restart or a move the same server is another node. */
@@ -119,11 +122,14 @@
                     node.getValue().gone = true;
                 }
             }
+            nodes.values().removeIf(n -> n.gone && n.connections == 0);
+        } else {
+            named.forEach(id -> nodes.computeIfPresent(id, (i, n) -> n.gone && n.connections == 0 ? null
+                    : n));
         }
-        nodes.values().removeIf(n -> n.gone && n.connections == 0);
     }
 
-    private static void leave(Node node, long now) {
+    private void leave(Node node, long now) {
         if (node.leavingSince == 0) {
             node.leavingSince = now;
             closeIdle(node);
@@ -178,6 +184,7 @@
             Connection c = latest.next();
             if (now - c.idleSince >= SETTLE_MICROS) {
                 latest.remove();
+                idleOrder.remove(c);
                 if (c.link.usable()) {
                     return c;
                 }
@@ -203,38 +210,32 @@
     }
 
     void close() {
-        nodes.values().forEach(ServerPool::closeIdle);
+        nodes.values().forEach(this::closeIdle);
         List.copyOf(busy.keySet()).forEach(this::abandon);
     }
 
-    private static void closeIdle(Node node) {
+    private void closeIdle(Node node) {
         for (Connection c; (c = node.idle.poll()) != null;) {
+            idleOrder.remove(c);
             c.link.close();
         }
     }
 
     private boolean closeOldestIdle() {
-        Connection oldest = null;
-        for (Node node : nodes.values()) {
-            Connection c = node.idle.peekFirst();
-            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
-                oldest = c;
-            }
-        }
-        if (oldest == null) {
+        if (idleOrder.isEmpty()) {
             return false;
         }
-        oldest.node.idle.pollFirst();
+        Connection oldest = idleOrder.iterator().next();
+        idleOrder.remove(oldest);
+        oldest.node.idle.remove(oldest);
         oldest.link.close();
         return true;
     }
 
     private void closeStale() {
         long now = clock.micros();
-        for (Node node : nodes.values()) {
-            while (!node.idle.isEmpty() && now - node.idle.peekFirst().idleSince >= idleMicros) {
-                node.idle.pollFirst().link.close();
-            }
+        while (!idleOrder.isEmpty() && now - idleOrder.iterator().next().idleSince >= idleMicros) {
+            closeOldestIdle();
         }
     }
 
@@ -301,6 +302,7 @@
             } else {
                 idleSince = clock.micros();
                 node.idle.addLast(this);
+                idleOrder.add(this);
             }
         }
 
@@ -355,6 +357,7 @@
             open--;
             node.connections--;
             node.idle.remove(this);
+            idleOrder.remove(this);
             if (node.gone && node.connections == 0) {
                 nodes.remove(node.line.id(), node);
             }
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -19,7 +19,6 @@
 import larkbank.Choice;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
-import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Settings;
 
 /**
@@ -41,6 +40,7 @@
     private final ClientServer clients;
     private final Config config;
     private final Layout layout;
+    private final ListFeed feed;
     private boolean stopping;
 
     /** Makes the layout of a sidecar out of its parts. */
@@ -73,6 +73,7 @@
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
         var shared = new Pool.Shared(loop, clock, inHand, discovery::subscribe, this::log);
         layout = layouts.of(new Layout.Parts(config, shared, modules, reader, clients));
+        feed = new ListFeed(loop, layout);
     }
 
     /** Runs a sidecar until it is told to end; the exit status. */
@@ -196,13 +197,12 @@
 
     @Override
     public void listed(ServerList list) {
-        ListKind kind = list.complete() ? ListKind.COMPLETE : ListKind.CHANGES;
-        layout.discovered().forEach(pool -> pool.listed(kind, list));
+        feed.take(list);
     }
 
     @Override
     public void failed(String why) {
-        layout.discovered().forEach(Pool::failed);
+        feed.failed();
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/larkbank/HeldQueueTest.java
@@ -0,0 +1,109 @@
+package larkbank;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Queue, budget, tally and shares against what they stand for, word by word. */
+class HeldQueueTest {
+
+    private static final class Waiting extends HeldQueue.Item {
+        private final int wanted;
+
+        Waiting(int wanted) {
+            this.wanted = wanted;
+        }
+    }
+
+    @Test
+    void newestAndOldestAreThoseOfAPlainList() {
+        long seed = 5;
+        SplittableRandom random = new SplittableRandom(seed);
+        HeldQueue<Waiting> queue = new HeldQueue<>(6);
+        List<Waiting> plain = new ArrayList<>();
+        for (int round = 0; round < 20_000; round++) {
+            if (plain.isEmpty() || random.nextInt(100) < 52) {
+                Waiting one = new Waiting(random.nextInt(6));
+                queue.add(one, one.wanted);
+                plain.add(one);
+            } else {
+                Waiting one = plain.remove(random.nextInt(plain.size()));
+                queue.remove(one);
+                queue.remove(one);
+            }
+            String title = "seed " + seed + ", round " + round;
+            assertEquals(plain.size(), queue.size(), title);
+            for (int parity = 0; parity < 2; parity++) {
+                int p = parity;
+                assertEquals(plain.stream().filter(w -> w.wanted % 2 == p).reduce((a, b) -> b).orElse(null),
+                        queue.newest(parity), title);
+            }
+            int lot = random.nextInt(6);
+            assertEquals(plain.stream().filter(w -> w.wanted == lot).findFirst().orElse(null),
+                    queue.oldest(lot, w -> true), title);
+        }
+        queue.forEach(queue::remove);
+        assertEquals(0, queue.size());
+    }
+
+    /** By brute force over all windows that begin with something spent. */
+    @Test
+    void budgetHoldsInEveryWindow() {
+        for (long seed = 1; seed <= 20; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            double floor = 1 + random.nextInt(4);
+            double part = random.nextDouble() / 5;
+            WindowBudget budget = new WindowBudget(1_000, floor, part);
+            List<long[]> spent = new ArrayList<>();
+            long earned = 0;
+            long now = 0;
+            for (int i = 0; i < 3_000; i++) {
+                now += random.nextInt(20);
+                earned += random.nextInt(3);
+                long at = now;
+                long had = earned;
+                List<long[]> within = spent.stream().filter(s -> at - s[0] <= 1_000).toList();
+                boolean allowed = 1 <= floor;
+                for (int from = 0; from < within.size(); from++) {
+                    allowed &= within.size() - from + 1 <= floor + part * (had - within.get(from)[1]);
+                }
+                assertEquals(allowed, budget.allows(now, earned), "seed " + seed + ", step " + i);
+                if (allowed) {
+                    budget.spend(now, earned);
+                    spent.add(new long[] {now, earned});
+                }
+            }
+        }
+    }
+
+    @Test
+    void tallyCountsByName() {
+        Tally tally = new Tally();
+        assertEquals(1, tally.add("a", 1));
+        assertEquals(2, tally.add("a", 1));
+        assertEquals(0, tally.of("b"));
+        assertEquals(0, tally.add("a", -2));
+        assertEquals(0, tally.of("a"));
+    }
+
+    @Test
+    void whoeverSpendsMoreThanItsShareIsBeyond() {
+        Shares shares = new Shares(List.of(3.0, 1.0), 5);
+        int beyond = 0;
+        for (int i = 0; i < 1_000; i++) {
+            beyond += shares.spend(i % 4 == 0 ? 1 : 0) ? 1 : 0;
+        }
+        assertEquals(0, beyond, "each within its share");
+        for (int i = 0; i < 1_000; i++) {
+            beyond += shares.spend(1) ? 1 : 0;
+        }
+        // All but what it was ahead: who goes on past its share falls ever further behind.
+        assertTrue(beyond > 985 && beyond < 1_000, "beyond " + beyond);
+        assertEquals(false, shares.spend(0));
+        assertEquals(false, new Shares(List.of(), 5).spend(0));
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/LargeFleetTest.java
@@ -0,0 +1,363 @@
+package larkbank;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.Outcome;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Server;
+import larkbank.LoadBalancer.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Fleets whose nodes are too large to be walked: what the draws must keep of what a walk promises. */
+class LargeFleetTest {
+
+    private static final long COLD = 10_000_000;
+    /** Ten zones and all servers in one that is not the own: the first node on a path holds some forty. */
+    private static final List<String> ZONES = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
+    private static final int ELSEWHERE = 5;
+
+    private static Settings settings(boolean warmKeys) {
+        Settings s = Recorder.settings(Effect.SAFE, Group.ALL);
+        return new Settings(11, 0, 3, 0, ZONES, s.classes(), List.of(), 1, 0, s.limits().with(20_000, 20_000,
+                400),
+                s.rules(), s.reports(), false, warmKeys, 1_000);
+    }
+
+    private static Server server(long id, Phase phase, long start) {
+        return new Server(id, ELSEWHERE, 0, 0, phase, start, 1);
+    }
+
+    private static Recorder fleet(int size, boolean warmKeys) {
+        Recorder r = new Recorder(settings(warmKeys), 0);
+        List<Server> list = new ArrayList<>();
+        for (long id = 1; id <= size; id++) {
+            list.add(server(id, Phase.READY, 0));
+        }
+        r.choice.servers(r.now, ListKind.COMPLETE, list);
+        return r;
+    }
+
+    private static void change(Recorder r, Server... changed) {
+        r.choice.servers(r.now, ListKind.CHANGES, List.of(changed));
+    }
+
+    /** Sends a request that its client leaves, which teaches the module nothing; where it went, or -1. */
+    private static long probe(Recorder r, String id, long key) {
+        int before = r.sent.size();
+        r.choice.request(r.now, new Request(id, 0, 0, false, key, r.now + 1_000_000, 0, false));
+        r.choice.clientLeft(r.now, id);
+        if (r.sent.size() == before) {
+            return -1;
+        }
+        long server = r.sent.get(before).server();
+        r.choice.outcome(r.now, new Outcome(id, 0, server, Result.CANCELLED, 0, true, null));
+        return server;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void drawsAreUniform(long salt) {
+        Recorder r = fleet(1_000, false);
+        Map<Long, Integer> counts = new HashMap<>();
+        int requests = 100_000;
+        for (int i = 0; i < requests; i++) {
+            counts.merge(probe(r, salt + "-" + i, -1), 1, Integer::sum);
+        }
+        assertEquals(1_000, counts.size(), "some are never drawn");
+        // A cell is drawn evenly, and within a cell its servers: so within each cell counts differ by chance.
+        Map<Integer, List<Integer>> cells = new HashMap<>();
+        int count = (int) (0.5 + 1_000 / 40.0);
+        counts.forEach((id, n) -> cells.computeIfAbsent(Hashes.jump(Hashes.mix(id, 0), count),
+                c -> new ArrayList<>()).add(n));
+        double chiSquared = 0;
+        int freedom = 0;
+        for (List<Integer> cell : cells.values()) {
+            double mean = cell.stream().mapToInt(n -> n).average().orElseThrow();
+            chiSquared += cell.stream().mapToDouble(n -> (n - mean) * (n - mean) / mean).sum();
+            freedom += cell.size() - 1;
+        }
+        assertTrue(Math.abs(chiSquared - freedom) < 4 * Math.sqrt(2.0 * freedom),
+                "chi-squared " + chiSquared + " at " + freedom + " degrees");
+    }
+
+    /** 95% have as many requests out as they may; each further request still finds one of the others. */
+    @Test
+    void oneWithRoomIsFoundAmongNineteenThatHaveNone() {
+        Recorder r = fleet(2_000, false);
+        int requests = 0;
+        for (int idle = 0; idle < 200; requests++) {
+            int before = r.sent.size();
+            r.request("f" + requests);
+            idle = r.sent.size() == before ? idle + 1 : 0;
+        }
+        assertTrue(r.sent.size() > 5_900, "filled with " + r.sent.size());
+        for (int i = 0; i < requests; i++) {
+            r.choice.clientLeft(r.now, "f" + i);
+        }
+        for (Recorder.Sent sent : List.copyOf(r.sent)) {
+            if (sent.server() % 20 == 0) {
+                r.choice.outcome(r.now, new Outcome(sent.request(), 0, sent.server(), Result.CANCELLED, 0,
+                        true,
+                        null));
+            }
+        }
+        int missed = 0;
+        for (int i = 0; i < 2_000; i++) {
+            long server = probe(r, "q" + i, -1);
+            missed += server < 0 ? 1 : 0;
+            assertTrue(server < 0 || server % 20 == 0, "sent to a full one");
+        }
+        assertTrue(missed <= 2, missed + " of 2000 found none");
+    }
+
+    /** The sum over all requests is the share that a walk over all members would give. */
+    @Test
+    void coldServersGetTheirShareAndNoMore() {
+        Recorder r = fleet(1_000, false);
+        r.now = 50_000_000;
+        List<Server> cold = new ArrayList<>();
+        for (long id = 1; id <= 200; id++) {
+            cold.add(server(id, Phase.READY, r.now));
+        }
+        change(r, cold.toArray(Server[]::new));
+        int requests = 60_000;
+        int toCold = 0;
+        for (int i = 0; i < requests; i++) {
+            toCold += probe(r, "c" + i, -1) <= 200 ? 1 : 0;
+        }
+        double fair = requests * 0.2 * 0.2;
+        assertTrue(toCold > 0.8 * fair && toCold < 1.2 * fair, toCold + " to the cold, fair " + fair);
+    }
+
+    @Test
+    void allColdIsServedByTheirShare() {
+        Recorder r = fleet(1_000, false);
+        r.now = 50_000_000;
+        List<Server> cold = new ArrayList<>();
+        for (long id = 1; id <= 1_000; id++) {
+            cold.add(server(id, Phase.READY, r.now));
+        }
+        change(r, cold.toArray(Server[]::new));
+        int sent = 0;
+        for (int i = 0; i < 10_000; i++) {
+            sent += probe(r, "c" + i, -1) > 0 ? 1 : 0;
+        }
+        assertTrue(sent > 1_500 && sent < 4_500, sent + " of 10000 sent, the cold share is 0.2");
+    }
+
+    /** Ejected servers are no candidates of a draw, but each has its trials and comes back. */
+    @Test
+    void theEjectedComeBack() {
+        Recorder r = fleet(400, false);
+        List<Recorder.Sent> silent = new ArrayList<>();
+        for (int i = 0; i < 3_000; i++) {
+            int before = r.sent.size();
+            r.request("e" + i);
+            if (r.sent.size() > before && r.sent.get(before).server() <= 120) {
+                silent.add(r.sent.get(before));
+            } else if (r.sent.size() > before) {
+                r.choice.outcome(r.now, new Outcome("e" + i, 0, r.sent.get(before).server(), Result.SERVED,
+                        2_000,
+                        true, null));
+            }
+        }
+        r.now += 3_000_000;
+        r.request("last");
+        Set<Long> ejected = new HashSet<>();
+        r.actions.stream().filter(a -> a.contains(" ejected: "))
+                .forEach(a -> ejected.add(Long.parseLong(a.split(" ")[2])));
+        assertTrue(ejected.size() >= 80, "ejected " + ejected.size());
+        silent.forEach(s -> r.choice.outcome(r.now, new Outcome(s.request(), 0, s.server(), Result.TIMED_OUT,
+                1_000_000, false, null)));
+        r.choice.clientLeft(r.now, "last");
+        int back = 0;
+        for (int i = 0; i < 200_000; i++) {
+            int before = r.sent.size();
+            r.now += 200;
+            r.request("b" + i);
+            if (r.sent.size() > before) {
+                r.choice.outcome(r.now, new Outcome("b" + i, 0, r.sent.get(before).server(), Result.SERVED,
+                        2_000,
+                        true, null));
+            }
+        }
+        for (long id : ejected) {
+            back += r.actions.contains("log server " + id + " re-admitted") ? 1 : 0;
+        }
+        assertEquals(ejected.size(), back, "re-admitted");
+    }
+
+    /** A key keeps its server while others come, go and flap about a boundary of the count of cells. */
+    @Test
+    void aKeyKeepsItsServer() {
+        Recorder r = fleet(1_000, true);
+        Map<Long, Long> homes = new HashMap<>();
+        for (long key = 0; key < 500; key++) {
+            homes.put(key, probe(r, "k" + key, key));
+        }
+        assertTrue(new HashSet<>(homes.values()).size() > 300, "keys share few servers");
+        SplittableRandom random = new SplittableRandom(8);
+        int moved = 0;
+        int asked = 0;
+        for (int round = 0; round < 60; round++) {
+            long gone = 1 + random.nextInt(1_000);
+            change(r, server(gone, Phase.DRAINING, 0));
+            for (long key = 0; key < 500; key += 5) {
+                long now = probe(r, round + "k" + key, key);
+                asked++;
+                if (homes.get(key) == gone) {
+                    assertFalse(now == gone, "sent to one that drains");
+                } else if (now != homes.get(key)) {
+                    moved++;
+                }
+            }
+            change(r, server(gone, Phase.READY, 0));
+        }
+        assertTrue(moved < asked / 100, moved + " of " + asked + " moved with another's server");
+    }
+
+    /** The count of cells hangs at its boundary: a fleet does not move for it. */
+    @Test
+    void aFlappingCountOfCellsMovesNobody() {
+        Recorder r = fleet(1_019, true);
+        List<Long> before = new ArrayList<>();
+        for (long key = 0; key < 300; key++) {
+            before.add(probe(r, "a" + key, key));
+        }
+        for (int flap = 0; flap < 40; flap++) {
+            Phase phase = flap % 2 == 0 ? Phase.DRAINING : Phase.READY;
+            change(r, server(1_018, phase, 0), server(1_019, phase, 0));
+        }
+        for (long key = 0; key < 300; key++) {
+            assertEquals(before.get((int) key), probe(r, "b" + key, key));
+        }
+    }
+
+    /**
+     * Servers come, drain, restart and go at random; a drained one gets nothing from the moment it is told.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22})
+    void whoDrainsGetsNothingMore(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Recorder r = fleet(600, false);
+        Map<Long, Phase> phases = new HashMap<>();
+        Map<String, Long> out = new HashMap<>();
+        for (int i = 0; i < 30_000; i++) {
+            r.now += 500;
+            if (i % 3 == 0) {
+                long id = 1 + random.nextInt(600);
+                Phase phase = Phase.values()[random.nextInt(3)];
+                phases.put(id, phase);
+                change(r, server(id, phase, random.nextInt(4) == 0 ? r.now - COLD - 1 : 0));
+            }
+            int before = r.sent.size();
+            r.request("w" + i);
+            if (r.sent.size() > before) {
+                long server = r.sent.get(before).server();
+                assertEquals(Phase.READY, phases.getOrDefault(server, Phase.READY), "seed " + seed);
+                out.put("w" + i, server);
+            }
+            // A change may find attempts out at its server; they end later.
+            if (out.size() > 40) {
+                String id = out.keySet().iterator().next();
+                r.choice.outcome(r.now, new Outcome(id, 0, out.remove(id), Result.SERVED, 20_000, true,
+                        null));
+            }
+        }
+        assertTrue(r.sent.size() > 20_000, "sent " + r.sent.size());
+    }
+
+    /** All of a cell's servers go while a request is held: it goes to another cell. */
+    @Test
+    void aCellThatEmptiesIsLeft() {
+        Recorder r = fleet(1_000, true);
+        int count = (int) (0.5 + 1_000 / 40.0);
+        long home = probe(r, "x", 77);
+        int cell = Hashes.jump(Hashes.mix(home, 0), count);
+        List<Server> all = new ArrayList<>();
+        for (long id = 1; id <= 1_000; id++) {
+            if (Hashes.jump(Hashes.mix(id, 0), count) == cell) {
+                all.add(server(id, Phase.REMOVED, 0));
+            }
+        }
+        change(r, all.toArray(Server[]::new));
+        long next = probe(r, "y", 77);
+        assertTrue(next > 0 && Hashes.jump(Hashes.mix(next, 0), count) != cell, "went to " + next);
+    }
+
+    @Test
+    void oneIdTwiceInAListIsOneServer() {
+        Recorder r = fleet(0, false);
+        change(r, server(1, Phase.READY, 0), server(1, Phase.READY, 0), server(2, Phase.DRAINING, 0),
+                server(2, Phase.READY, 0));
+        Set<Long> seen = new HashSet<>();
+        for (int i = 0; i < 50; i++) {
+            seen.add(probe(r, "d" + i, -1));
+        }
+        assertEquals(Set.of(1L, 2L), seen);
+        change(r, server(1, Phase.REMOVED, 0));
+        assertEquals(2, probe(r, "e", -1));
+    }
+
+    /** A sidecar that can keep few connections uses a part of a large fleet, each sidecar another part. */
+    @Test
+    void connectionsDoNotGrowWithTheFleet() {
+        Set<Long> all = new HashSet<>();
+        for (int rank = 0; rank < 6; rank++) {
+            Settings s = settings(false);
+            Recorder r = new Recorder(new Settings(rank, rank, 6, ELSEWHERE, ZONES, s.classes(), List.of(),
+                    1, 0,
+                    s.limits(), s.rules(), s.reports(), false, false, 1_000), 0);
+            List<Server> list = new ArrayList<>();
+            for (long id = 1; id <= 8_000; id++) {
+                list.add(new Server(id, (int) (id % 10), 0, 0, Phase.READY, 0, 1));
+            }
+            r.choice.servers(r.now, ListKind.COMPLETE, list);
+            Set<Long> used = new HashSet<>();
+            for (int i = 0; i < 5_000; i++) {
+                used.add(probe(r, rank + "-" + i, -1));
+            }
+            assertTrue(used.size() <= 400, "connections to " + used.size());
+            all.addAll(used);
+        }
+        assertTrue(all.size() > 450, "all of them use the same " + all.size());
+    }
+
+    /** A queue of thousands: each answer serves the newest, whatever else waits. */
+    @Test
+    void thousandsHeldAreServedNewestFirst() {
+        Recorder r = new Recorder(settings(false), 0);
+        for (int i = 0; i < 5_000; i++) {
+            r.request("h" + i);
+        }
+        assertEquals(0, r.sent.size());
+        change(r, server(1, Phase.READY, 0));
+        assertEquals("h4999", r.sent.get(0).request());
+        int served = r.sent.size();
+        for (int i = 0; i < 100; i++) {
+            Recorder.Sent oldest = r.sent.get(i);
+            r.choice.outcome(r.now, new Outcome(oldest.request(), 0, 1, Result.SERVED, 1_000, true, null));
+        }
+        assertTrue(r.sent.size() >= served + 100);
+        for (int i = 0; i < r.sent.size(); i++) {
+            assertEquals("h" + (4_999 - i), r.sent.get(i).request());
+        }
+    }
+}
--- a/src/test/java/larkbank/operators/LimitsPropertyTest.java
+++ b/src/test/java/larkbank/operators/LimitsPropertyTest.java
@@ -92,7 +92,8 @@
             valid++;
             PoolPlan pool = operators.plan().pools().get(0);
             Settings base = Installations.settings(seed + i);
-            Settings settings = base.with(base.limits().with(pool.requests(), pool.queue()), false);
+            Settings settings = base.with(base.limits().with(pool.requests(), pool.queue(),
+                    pool.connections()), false);
             ModuleRig rig = new ModuleRig("seed " + (seed + i) + "\n" + text, settings, seed + i,
                     2 + random.nextInt(8), Choice::new);
             for (int n = 0; n < 400; n++) {
--- a/src/test/java/larkbank/testkit/Installations.java
+++ b/src/test/java/larkbank/testkit/Installations.java
@@ -30,7 +30,7 @@
                 requestClass("hold", Effect.KEYED, Group.ZONE, 3_000_000),
                 requestClass("book", Effect.UNSAFE, Group.ALL, 5_000_000),
                 requestClass("pay", Effect.UNSAFE, Group.ALL, 4_000_000)), List.of(), 1, 0,
-                new Limits(6, true, false, true, 2_000_000, 10_000_000, 300, Integer.MAX_VALUE, true),
+                new Limits(6, true, false, true, 2_000_000, 10_000_000, 300, Integer.MAX_VALUE, true, 444),
                 new Rules(0.3, 1_000_000, 1_000_000, 10_000_000, 0, 0, 0), ReportSource.NONE, false, false,
                 1_000);
     }
