--- a/src/bench/java/larkbank/PaperBench.java
+++ b/src/bench/java/larkbank/PaperBench.java
@@ -34,6 +34,8 @@
     private static final int VALUES = 3;
 
     private List<Map<String, String>> named;
+    private List<String> addresses;
+    private List<Host> hosts;
     private int[][] labels;
 
     private static final class Host extends Subsets.Member { }
@@ -43,6 +45,8 @@
         SplittableRandom random = new SplittableRandom(8);
         labels = new int[HOSTS][];
         named = new ArrayList<>();
+        addresses = new ArrayList<>();
+        hosts = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
             labels[i] = random.ints(KEYS, 0, VALUES).toArray();
             Map<String, String> map = new HashMap<>();
@@ -50,6 +54,8 @@
                 map.put("key" + k, "value" + labels[i][k]);
             }
             named.add(map);
+            addresses.add("10.0." + i / 256 + "." + i % 256 + ":8080");
+            hosts.add(new Host());
         }
     }
 
@@ -68,13 +74,14 @@
         for (int v = 0; v < VALUES; v++) {
             Map<String, String> next = new HashMap<>(wanted);
             next.put("key" + key, "value" + v);
-            List<Map<String, String>> hosts = new ArrayList<>();
-            for (Map<String, String> host : named) {
-                if (matches(host, next)) {
-                    hosts.add(host);
+            // Each node's hosts are made unique by their addresses, as the article's first form does.
+            Map<String, Map<String, String>> hosts = new HashMap<>();
+            for (int i = 0; i < HOSTS; i++) {
+                if (matches(named.get(i), next)) {
+                    hosts.put(addresses.get(i), named.get(i));
                 }
             }
-            nodes.add(hosts);
+            nodes.add(new ArrayList<>(hosts.values()));
             grow(next, key + 1, nodes);
         }
     }
@@ -93,9 +100,11 @@
     public int index() {
         Subsets<Host> tree = new Subsets<>(KEYS);
         for (int i = 0; i < HOSTS; i++) {
-            tree.add(new Host(), i, labels[i]);
+            tree.add(hosts.get(i), i, labels[i]);
         }
-        return ask(tree, new int[] {-1, -1, -1, -1}, 0);
+        int nodes = ask(tree, new int[] {-1, -1, -1, -1}, 0);
+        tree.clear();
+        return nodes;
     }
 
     private static int ask(Subsets<Host> tree, int[] values, int key) {
--- /dev/null
+++ b/src/bench/java/larkbank/sidecar/Served.java
@@ -0,0 +1,75 @@
+package larkbank.sidecar;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The program as {@code deploy/balancer.toml} runs it, in a process of its own, once it is ready. */
+final class Served implements AutoCloseable {
+
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
+
+    final InetSocketAddress address;
+    /** Seconds from exec to ready. */
+    final double seconds;
+    private final Process process;
+
+    /** With the arguments behind the command; on one core. */
+    Served(Path config, String more) throws Exception {
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml has no run");
+        }
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", run.group(1) + more);
+        builder.environment().put("LB_CONFIG", config.toString());
+        builder.environment().put("LB_LISTEN", "127.0.0.1:" + address.getPort());
+        builder.inheritIO();
+        long since = System.nanoTime();
+        process = builder.start();
+        awaitReady();
+        seconds = (System.nanoTime() - since) / 1e9;
+    }
+
+    private void awaitReady() throws Exception {
+        while (process.isAlive()) {
+            try (Harness.Client client = new Harness.Client(address)) {
+                if (client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").answer().status() == 200) {
+                    return;
+                }
+            } catch (IOException | AssertionError e) {
+                // Not listening yet, or closed with the rehearsal.
+            }
+            Thread.sleep(2);
+        }
+        throw new IOException("the program ended");
+    }
+
+    double cpuSeconds() {
+        return process.info().totalCpuDuration().map(Duration::toMillis).orElse(-1L) / 1e3;
+    }
+
+    double residentMegabytes() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"));
+        for (String line : lines) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
+            }
+        }
+        return Double.NaN;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        process.destroy();
+        process.waitFor();
+    }
+}
--- a/src/bench/java/larkbank/sidecar/StartBench.java
+++ b/src/bench/java/larkbank/sidecar/StartBench.java
@@ -1,16 +1,10 @@
 package larkbank.sidecar;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import larkbank.testkit.Stub;
 
 /**
@@ -20,18 +14,12 @@
  */
 public final class StartBench {
 
-    private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
-
     private StartBench() { }
 
     private record Start(double seconds, double cpu, double megabytes) { }
 
     public static void main(String[] args) throws Exception {
         int rounds = args.length > 0 && args[0].matches("\\d+") ? Integer.parseInt(args[0]) : 11;
-        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
-        if (!run.find()) {
-            throw new IOException("deploy/balancer.toml has no run");
-        }
         Path folder = Files.createTempDirectory("start");
         Path file = folder.resolve("operators.toml");
         Files.writeString(file, routes(1_000));
@@ -39,8 +27,8 @@
             List<Start> without = new ArrayList<>();
             List<Start> with = new ArrayList<>();
             for (int i = 0; i < rounds; i++) {
-                without.add(start(run.group(1), harness));
-                with.add(start(run.group(1) + " --operators " + file, harness));
+                without.add(start(harness, ""));
+                with.add(start(harness, " --operators " + file));
             }
             print("no file", without);
             print("1,000 routes", with);
@@ -56,49 +44,10 @@
         return text.toString();
     }
 
-    private static Start start(String command, Harness harness) throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", command);
-        builder.environment().put("LB_CONFIG", harness.file.toString());
-        builder.environment().put("LB_LISTEN", "127.0.0.1:" + port);
-        builder.inheritIO();
-        long since = System.nanoTime();
-        Process process = builder.start();
-        try {
-            awaitReady(new InetSocketAddress("127.0.0.1", port), process);
-            double seconds = (System.nanoTime() - since) / 1e9;
-            double cpu = process.info().totalCpuDuration().map(Duration::toMillis).orElse(-1L) / 1e3;
-            return new Start(seconds, cpu, resident(process.pid()));
-        } finally {
-            process.destroy();
-            process.waitFor();
-        }
-    }
-
-    private static void awaitReady(InetSocketAddress address, Process process) throws Exception {
-        while (process.isAlive()) {
-            try (Harness.Client client = new Harness.Client(address)) {
-                if (client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").answer().status() == 200) {
-                    return;
-                }
-            } catch (IOException | AssertionError e) {
-                // Not listening yet, or closed with the rehearsal.
-            }
-            Thread.sleep(2);
-        }
-        throw new IOException("the program ended");
-    }
-
-    private static double resident(long pid) throws IOException {
-        for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
-            if (line.startsWith("VmRSS:")) {
-                return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
-            }
+    private static Start start(Harness harness, String more) throws Exception {
+        try (Served served = new Served(harness.file, more)) {
+            return new Start(served.seconds, served.cpuSeconds(), served.residentMegabytes());
         }
-        return Double.NaN;
     }
 
     private static void print(String name, List<Start> starts) {
--- /dev/null
+++ b/src/bench/java/larkbank/sidecar/WebSocketBench.java
@@ -0,0 +1,243 @@
+package larkbank.sidecar;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import larkbank.testkit.Http;
+import larkbank.testkit.Stub;
+import larkbank.testkit.Ws;
+
+/**
+ * What a tunnel costs beside a direct connection, in one run and one process: round trips, throughput,
+ * upgrades a
+ * second, many idle tunnels, and what they cost plain requests. Argument: how many idle tunnels; each holds
+ * four
+ * descriptors of this process.
+ */
+public final class WebSocketBench {
+
+    private static final int TRIPS = 20_000;
+    private static final int PIECE = 64 * 1024;
+    private static final int PIECES = 6_000;
+    private static final String MORE = "Connection: Upgrade\r\nUpgrade: websocket\r\n"
+            + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: " + Ws.KEY + "\r\n";
+
+    private WebSocketBench() { }
+
+    public static void main(String[] args) throws Exception {
+        int tunnels = args.length > 0 && args[0].matches("\\d+") ? Integer.parseInt(args[0]) : 8_500;
+        try (Idle idle = new Idle(); Stub echo = new Stub(Ws.echo());
+                Stub sink = new Stub(WebSocketBench::drain);
+                Stub plain = new Stub(Stub.serves("ok"));
+                Harness harness = new Harness(Files.createTempDirectory("ws"), 250_000, 60_000)) {
+            harness.startWith("version = 1\n" + route("echo", echo.port()) + route("sink", sink.port())
+                    + route("idle", idle.port()) + route("plain", plain.port()));
+            for (int round = 0; round < 2; round++) {
+                trips("direct", open(new InetSocketAddress("127.0.0.1", echo.port()), "echo"), round);
+                trips("tunnel", open(harness.address, "echo"), round);
+            }
+            throughput("direct", new InetSocketAddress("127.0.0.1", sink.port()));
+            throughput("tunnel", harness.address);
+            upgrades(harness);
+            plain("no tunnels", harness);
+            plain("no tunnels", harness);
+            List<Ws> open = new ArrayList<>();
+            while (open.size() < 2_000) {
+                open.add(open(harness.address, "idle"));
+            }
+            plain("2,000 tunnels", harness);
+            busy(open, harness);
+        }
+        idle(tunnels);
+        System.exit(0);
+    }
+
+    private static String route(String name, int port) {
+        return "[pools." + name + "]\nsource = \"static\"\nservers = [{ id = \"a\", endpoint = \"127.0.0.1:"
+                + port
+                + "\" }]\n[routes." + name + "]\npath = \"/" + name + "/*\"\nclass = \"search\"\npool = \""
+                        + name
+                + "\"\n[routes." + name + ".websocket]\nping_interval = \"600s\"\nping_timeout = \"600s\"\n";
+    }
+
+    private static void drain(Stub.Seen seen) throws IOException {
+        Ws ws = Ws.agree(seen, "");
+        byte[] some = new byte[PIECE];
+        long left = (long) PIECES * PIECE;
+        while (left > 0) {
+            int count = seen.socket().getInputStream().read(some);
+            left -= count < 0 ? left : count;
+        }
+        ws.text("done");
+    }
+
+    private static Ws open(InetSocketAddress address, String name) throws IOException {
+        Harness.Client client = new Harness.Client(address);
+        client.raw(Harness.Client.head("GET", "/" + name + "/1", 2_000, MORE, 0));
+        Http.Message answer = client.answer();
+        if (answer.status() != 101) {
+            throw new IOException("answered " + answer.first());
+        }
+        client.socket.setTcpNoDelay(true);
+        return new Ws(client.socket, true);
+    }
+
+    private static void trips(String name, Ws ws, int round) throws IOException {
+        long[] took = new long[TRIPS];
+        byte[] message = new byte[100];
+        for (int i = 0; i < TRIPS; i++) {
+            long since = System.nanoTime();
+            ws.send(2, true, message);
+            ws.message();
+            took[i] = System.nanoTime() - since;
+        }
+        Arrays.sort(took);
+        if (round > 0) {
+            System.out.printf("round trip, %s: median %.0f us, 99%% %.0f us%n", name, took[TRIPS / 2] / 1e3,
+                    took[TRIPS / 100 * 99] / 1e3);
+        }
+        ws.close(1000);
+    }
+
+    private static void throughput(String name, InetSocketAddress address) throws IOException {
+        Ws ws = open(address, "sink");
+        byte[] frame = Ws.frame(true, 0x82, new byte[PIECE]);
+        long since = System.nanoTime();
+        for (int i = 0; i < PIECES; i++) {
+            ws.raw(frame);
+        }
+        ws.message();
+        System.out.printf("one way, %s: %.0f MB/s%n", name,
+                (double) PIECES * PIECE / (1 << 20) / ((System.nanoTime() - since) / 1e9));
+    }
+
+    private static void upgrades(Harness harness) throws Exception {
+        AtomicInteger done = new AtomicInteger();
+        long until = System.nanoTime() + 4_000_000_000L;
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Thread thread = new Thread(() -> {
+                while (System.nanoTime() < until) {
+                    try {
+                        Ws ws = open(harness.address, "echo").close(1000);
+                        ws.message();
+                        ws.read();
+                        done.incrementAndGet();
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }
+            });
+            thread.start();
+            threads.add(thread);
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        System.out.printf("upgrades, opened and closed: %.0f a second%n", done.get() / 4.0);
+    }
+
+    private static void plain(String name, Harness harness) throws IOException {
+        Harness.Client client = new Harness.Client(harness.address);
+        long[] took = new long[TRIPS];
+        for (int i = 0; i < TRIPS; i++) {
+            long since = System.nanoTime();
+            client.raw(Harness.Client.head("GET", "/plain/1", 2_000, "", 0)).answer();
+            took[i] = System.nanoTime() - since;
+        }
+        client.close();
+        Arrays.sort(took);
+        System.out.printf("plain requests, %s: median %.0f us, 99%% %.0f us%n", name, took[TRIPS / 2] / 1e3,
+                took[TRIPS / 100 * 99] / 1e3);
+    }
+
+    /** One tunnel after the other says something, 2,000 a second in all, while plain requests run. */
+    private static void busy(List<Ws> open, Harness harness) throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        Thread talking = new Thread(() -> {
+            try {
+                for (int i = 0; end.getCount() > 0; i++) {
+                    open.get(i % open.size()).send(2, true, new byte[100]);
+                    if (i % 20 == 0) {
+                        Thread.sleep(10);
+                    }
+                }
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        talking.start();
+        plain("2,000 tunnels, 2,000 messages a second", harness);
+        end.countDown();
+        talking.join();
+    }
+
+    /** As many as fit into the descriptors of the sidecar's process, which is one of its own. */
+    private static void idle(int count) throws Exception {
+        Path folder = Files.createTempDirectory("idle");
+        try (Idle server = new Idle(); Harness config = new Harness(folder, 250_000, 20_000)) {
+            Path file = folder.resolve("operators.toml");
+            Files.writeString(file, "version = 1\n" + route("idle", server.port()));
+            try (Served served = new Served(config.file, " --operators " + file)) {
+                double before = served.residentMegabytes();
+                List<Ws> open = new ArrayList<>();
+                long since = System.nanoTime();
+                while (open.size() < count) {
+                    open.add(open(served.address, "idle"));
+                }
+                double seconds = (System.nanoTime() - since) / 1e9;
+                double memory = served.residentMegabytes() - before;
+                double cpu = served.cpuSeconds();
+                Thread.sleep(10_000);
+                System.out.printf("%d idle tunnels, opened in turn in %.1f s: %.1f kB each of the process,"
+                        + " %.1f%% of a core%n", open.size(), seconds, memory * 1024 / count,
+                        (served.cpuSeconds() - cpu) * 10);
+            }
+        }
+    }
+
+    /** A server whose connections agree and then say nothing, without a thread each. */
+    private static final class Idle implements AutoCloseable {
+        private final ServerSocket listening = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+        private final List<Socket> sockets = new ArrayList<>();
+
+        Idle() throws IOException {
+            Thread thread = new Thread(this::accept, "idle");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        int port() {
+            return listening.getLocalPort();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = listening.accept();
+                    sockets.add(socket);
+                    Http.Message asked = Http.read(socket.getInputStream());
+                    socket.getOutputStream().write(Ws.agreed(asked.headers().get("Sec-WebSocket-Key"), "")
+                            .getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                // Closed: the measurement is over.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listening.close();
+        }
+    }
+}
--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -10,9 +10,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
@@ -91,6 +93,8 @@
     private final Subsets<Backend> tree = new Subsets<>(2);
     private final int zones;
     private int cells;
+    /** The nodes that a request of a cell walks, until the tree or the zone used is another. */
+    private final Map<Integer, List<Roster<Backend>>> paths = new HashMap<>();
 
     private int[][] tenantCells = new int[0][], ownCells = new int[0][];
     /** Many quiet sidecars for few servers: own in-flight and samples say little, connections cost much. */
@@ -113,9 +117,12 @@
     private long taken;
     /** Further attempts against the requests taken, where the site sets a budget. */
     private final WindowBudget extras;
-    /** Attempts by when they count as hanging; those that have ended are passed over. */
-    private final PriorityQueue<Attempt> outstanding =
-            new PriorityQueue<>(Comparator.comparingLong(a -> a.hangsAt));
+    /**
+     * Attempts as sent, and the slow ones among them by when they hang; those that have ended are passed
+     * over.
+     */
+    private final Set<Attempt> outstanding = new LinkedHashSet<>();
+    private final PriorityQueue<Attempt> slow = new PriorityQueue<>(Comparator.comparingLong(a -> a.hangsAt));
     private double meanUse = Double.NaN, meanOthers = Double.NaN, admitted = 1;
     private double probeTokens, probeMicros;
     private long startedAt, distrustedAt, idleTrust = Long.MAX_VALUE, sheddingLoggedAt;
@@ -167,7 +174,7 @@
         boolean suspected;
         Result result;
 
-        Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm, double aim) {
+        Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm) {
             this.of = of;
             this.server = server;
             this.usual = usual;
@@ -175,7 +182,7 @@
             number = of.attempts.size();
             sentAt = now;
             expected = usual * Math.max(1, server.pace) * (1 + load);
-            hangsAt = now + 1 + (long) Math.max(aim / 2, HANGING * expected);
+            hangsAt = now + 1 + (long) (HANGING * expected);
             fresh = !warm;
             idle = warm ? now - server.usedAt : 0;
         }
@@ -304,10 +311,13 @@
             sparse = many;
             cells = wanted;
             tree.clear();
+            paths.clear();
             for (Backend b : backends.values()) place(b);
             if (others) openCells();
         }
-        home = homeZone();
+        int zone = homeZone();
+        if (zone != home) paths.clear();
+        home = zone;
     }
 
     /** A tenant's cells are the same at every sidecar. Where its cells hold more servers than this sidecar
@@ -480,8 +490,8 @@
 
     private List<Roster<Backend>> path(Pending p) {
         int cell = p.cell % cells;
-        return List.of(tree.node(home, cell), tree.node(Subsets.ANY, cell), tree.node(home, Subsets.ANY),
-                tree.node(Subsets.ANY, Subsets.ANY));
+        return paths.computeIfAbsent(cell, c -> List.of(tree.node(home, c), tree.node(Subsets.ANY, c),
+                tree.node(home, Subsets.ANY), tree.node(Subsets.ANY, Subsets.ANY)));
     }
 
     /** Sends the request, or holds it in the queue. */
@@ -809,7 +819,7 @@
             return;
         }
         double load = Double.isNaN(meanOthers) ? 0 : load(now, b);
-        Attempt a = new Attempt(p, b, now, usual(p), load, warm(now, b), aimMicros);
+        Attempt a = new Attempt(p, b, now, usual(p), load, warm(now, b));
         if (a.fresh && b.opened && b.out.size() == 0) {
             b.opened = false;
             b.usedAt = 0;
@@ -875,6 +885,7 @@
         a.result = o.result();
         p.out--;
         a.server.out.remove(a);
+        outstanding.remove(a);
         if (!a.server.listed && a.server.out.isEmpty()) backends.remove(a.server.id, a.server);
         if (a.suspected) a.server.suspects--;
         learn(now, a, o);
@@ -979,8 +990,13 @@
 
     /** Looks at attempts without an answer for far longer than expected. */
     private void watch(long now) {
-        while (!outstanding.isEmpty() && outstanding.peek().hangsAt <= now) {
-            Attempt a = outstanding.poll();
+        for (var first = outstanding.iterator(); first.hasNext(); first.remove()) {
+            Attempt a = first.next();
+            if (now - a.sentAt < aimMicros / 2) break;
+            slow.add(a);
+        }
+        while (!slow.isEmpty() && slow.peek().hangsAt <= now) {
+            Attempt a = slow.poll();
             if (a.result == null && !a.suspected) suspect(now, a, true);
         }
     }
--- a/src/main/java/larkbank/Roster.java
+++ b/src/main/java/larkbank/Roster.java
@@ -27,11 +27,16 @@
     private final List<M> marked = new ArrayList<>(0);
     private int turn;
 
-    Roster(List<M> unordered) {
-        members = unordered.toArray(Member[]::new);
+    /** Of these, in any order; the array is taken over. */
+    Roster(Member[] unordered) {
+        members = unordered;
         Arrays.sort(members, ORDER);
         size = members.length;
-        unordered.stream().filter(m -> m.marked).forEach(marked::add);
+        for (int i = 0; i < size; i++) {
+            if (members[i].marked) {
+                marked.add(get(i));
+            }
+        }
     }
 
     int size() {
--- a/src/main/java/larkbank/Subsets.java
+++ b/src/main/java/larkbank/Subsets.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
-import java.util.function.Consumer;
 
 /**
  * The subset tree, after MOSN's inverted index (PAPER): one bitmap for each value of each label key, kept up
@@ -17,6 +16,7 @@
 
     /** Stands for any value of a key; as a label, for none. */
     static final int ANY = -1;
+    private static final int INSERT = 0, REMOVE = 1, MARK = 2;
 
     /** What can be in the tree; its labels and place hold from when it is added until it is removed. */
     abstract static class Member extends Roster.Member {
@@ -45,7 +45,8 @@
 
     private final List<List<BitSet>> index = new ArrayList<>();
     private final List<M> members = new ArrayList<>();
-    private final BitSet taken = new BitSet();
+    /** Slots in use, and those of the node that is being built. */
+    private final BitSet taken = new BitSet(), all = new BitSet();
     private int size;
     private Branch<M> root = new Branch<>();
 
@@ -69,12 +70,12 @@
         if (m.slot == members.size()) members.add(m);
         else members.set(m.slot, m);
         for (int k = 0; k < labels.length; k++) if (labels[k] >= 0) bits(k, labels[k]).set(m.slot);
-        visit(root, 0, m, node -> node.insert(m));
+        visit(root, 0, m, INSERT);
     }
 
     /** Takes out a member that is in; its mark stays with it. */
     void remove(M m) {
-        visit(root, 0, m, node -> node.remove(m));
+        visit(root, 0, m, REMOVE);
         for (int k = 0; k < m.labels.length; k++) if (m.labels[k] >= 0) bits(k, m.labels[k]).clear(m.slot);
         members.set(m.slot, null);
         taken.clear(m.slot);
@@ -86,7 +87,7 @@
     void mark(M m, boolean mark) {
         if (m.marked == mark) return;
         m.marked = mark;
-        if (m.isIn()) visit(root, 0, m, node -> node.mark(m));
+        if (m.isIn()) visit(root, 0, m, MARK);
     }
 
     /** The node of these values, one for each key. */
@@ -114,23 +115,24 @@
     }
 
     private Roster<M> build(int[] values) {
-        BitSet bits = null;
-        for (int k = 0; k < values.length; k++) {
-            if (values[k] < 0) continue;
-            if (bits == null) bits = (BitSet) bits(k, values[k]).clone();
-            else bits.and(bits(k, values[k]));
-        }
-        bits = bits == null ? taken : bits;
-        List<M> found = new ArrayList<>(bits.cardinality());
-        for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) found.add(members.get(i));
+        all.clear();
+        all.or(taken);
+        for (int k = 0; k < values.length; k++) if (values[k] >= 0) all.and(bits(k, values[k]));
+        Member[] found = new Member[all.cardinality()];
+        int count = 0;
+        for (int i = all.nextSetBit(0); i >= 0; i = all.nextSetBit(i + 1)) found[count++] = members.get(i);
         return new Roster<>(found);
     }
 
     /** Visits the nodes that exist and that the member belongs to: two ways at each key. */
-    private void visit(Branch<M> branch, int key, M m, Consumer<Roster<M>> task) {
+    private void visit(Branch<M> branch, int key, M m, int change) {
         if (branch != null && key < index.size()) {
-            visit(branch.at(ANY), key + 1, m, task);
-            if (m.labels[key] >= 0) visit(branch.at(m.labels[key]), key + 1, m, task);
-        } else if (branch != null && branch.node != null) task.accept(branch.node);
+            visit(branch.at(ANY), key + 1, m, change);
+            if (m.labels[key] >= 0) visit(branch.at(m.labels[key]), key + 1, m, change);
+        } else if (branch != null && branch.node != null) {
+            if (change == INSERT) branch.node.insert(m);
+            else if (change == REMOVE) branch.node.remove(m);
+            else branch.node.mark(m);
+        }
     }
 }
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -15,6 +15,7 @@
 import larkbank.route.Routable;
 import larkbank.route.Route;
 import larkbank.route.Target;
+import larkbank.route.WebSocketLimits;
 
 /** Says what is in force and where each value came from, one value a line. */
 public final class Explain {
@@ -72,6 +73,10 @@
         }
     }
 
+    private static String time(long micros) {
+        return micros == 0 ? "none" : Duration.text(micros);
+    }
+
     private void line(String form, Object... values) {
         out.append(String.format(Locale.ROOT, form, values)).append('\n');
     }
@@ -117,6 +122,13 @@
         if (limits.hedges().value() > 0) {
             value("hedge_after", Duration.text(limits.hedgeAfter().value()), limits.hedgeAfter().origin());
         }
+        if (route.webSocket() != null) {
+            WebSocketLimits w = route.webSocket();
+            line("  websocket        frames to %d, messages to %d bytes; idle %s, ping %s, answer %s,"
+                    + " life %s",
+                    w.maxFrame(), w.maxMessage(), time(w.idleMicros()), time(w.pingMicros()),
+                    time(w.pongMicros()), time(w.lifeMicros()));
+        }
         for (RouteLimits.Counted counted : limits.counted()) {
             if (counted.requests() != null) {
                 value("max_requests", counted.requests().value(), counted.requests().origin());
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -37,9 +37,11 @@
                     file.pools().get(route.pool().value()), facts.settings().limits());
             limits.put(route.name(), own);
             routes.add(new Route<>(route.name(), route.match(), new Target(route.pool().value(),
-                    facts.settings().classes().indexOf(c), own.timeout().value(), own.terms())));
+                    facts.settings().classes().indexOf(c), own.timeout().value(), own.terms(),
+                    route.webSocket())));
         }
-        plan = new Plan(listeners(), pools(), new Router<>(routes));
+        plan = new Plan(listeners(), pools(), new Router<>(routes),
+                routes.stream().anyMatch(r -> r.target().webSocket() != null));
     }
 
     /**
--- a/src/main/java/larkbank/operators/OperatorsFile.java
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import larkbank.route.Match;
 import larkbank.route.StaticServer;
+import larkbank.route.WebSocketLimits;
 
 /** A file as it is written: each section with its values and their lines, before anything is compared. */
 record OperatorsFile(List<ListenerSection> listeners, Map<String, PoolSection> pools,
@@ -19,5 +20,5 @@
 
     /** What could not be read is null; it has been reported. */
     record RouteSection(String name, int line, Match match, Setting<String> requestClass,
-            Setting<String> pool, LimitSet limits) { }
+            Setting<String> pool, LimitSet limits, WebSocketLimits webSocket) { }
 }
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -19,6 +19,7 @@
 import larkbank.route.Match;
 import larkbank.route.PathPattern;
 import larkbank.route.StaticServer;
+import larkbank.route.WebSocketLimits;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 
@@ -28,6 +29,7 @@
     static final long VERSION = 1;
 
     private static final long MOST_PRIORITY = 1_000;
+    private static final long MOST_BYTES = 1L << 40;
     private static final Set<String> SOURCES = Set.of("discovery", "static");
     private static final Set<String> METHODS = Set.of("GET", "POST");
     private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
@@ -179,10 +181,38 @@
         String pool = section.required("pool");
         LimitSet limits = section.limits(LimitKey.OF_ROUTES);
         rejectConnections(section);
+        WebSocketLimits webSocket = webSocket(section, match);
         section.rejectUnknown();
         return new RouteSection(name(section), section.line(), match,
                 requestClass == null ? null : section.setting("class", requestClass),
-                pool == null ? null : section.setting("pool", pool), limits);
+                pool == null ? null : section.setting("pool", pool), limits, webSocket);
+    }
+
+    private static WebSocketLimits webSocket(Section route, Match match) {
+        Section section = route.table("websocket");
+        if (section == null) {
+            return null;
+        }
+        if (match != null && !match.methods().isEmpty() && !match.methods().contains("GET")) {
+            section.problems().add(section.line(), "an upgrade is asked for with GET, which this route's"
+                    + " 'methods' does not have");
+        }
+        long message = section.count("max_message", 125, MOST_BYTES, 16 << 20);
+        long frame = section.count("max_frame", 125, MOST_BYTES, message);
+        if (frame > message) {
+            section.problem("max_frame", "'max_frame' is " + frame + ", more than 'max_message' (" + message
+                    + ")");
+        }
+        long idle = section.time("idle_timeout", 1_000_000, 86_400_000_000L, 0);
+        long ping = section.time("ping_interval", 100_000, 3_600_000_000L, 30_000_000);
+        long pong = section.time("ping_timeout", 100_000, 3_600_000_000L, Math.min(ping, 10_000_000));
+        if (pong > ping) {
+            section.problem("ping_timeout", "'ping_timeout' is " + Duration.text(pong)
+                    + ", longer than 'ping_interval' (" + Duration.text(ping) + ")");
+        }
+        long life = section.time("max_life", 1_000_000, 604_800_000_000L, 0);
+        section.rejectUnknown();
+        return new WebSocketLimits(frame, message, idle, ping, pong, life);
     }
 
     private Match match(Section section) {
--- a/src/main/java/larkbank/operators/Section.java
+++ b/src/main/java/larkbank/operators/Section.java
@@ -28,6 +28,10 @@
         this.problems = problems;
     }
 
+    Problems problems() {
+        return problems;
+    }
+
     String title() {
         return title;
     }
@@ -100,6 +104,12 @@
         return count;
     }
 
+    /** The same with a default. */
+    long count(String key, long least, long most, long otherwise) {
+        Long count = count(key, least, most);
+        return count == null ? otherwise : count;
+    }
+
     /** A number within a range, or null. */
     Double number(String key, double least, double most) {
         known.add(key);
@@ -135,6 +145,12 @@
         return micros;
     }
 
+    /** The same with a default. */
+    long time(String key, long least, long most, long otherwise) {
+        Long time = time(key, least, most);
+        return time == null ? otherwise : time;
+    }
+
     /** A list of texts, or null. */
     List<String> texts(String key) {
         TomlArray array = value(key, TomlArray.class, "a list of texts");
--- a/src/main/java/larkbank/route/Target.java
+++ b/src/main/java/larkbank/route/Target.java
@@ -7,5 +7,7 @@
  *
  * @param requestClass its place among the classes of the settings
  * @param timeoutMicros for the whole request; the client's own time holds where it is shorter
+ * @param webSocket what holds for its WebSocket connections; null where it has none
  */
-public record Target(String pool, int requestClass, long timeoutMicros, Terms terms) { }
+public record Target(String pool, int requestClass, long timeoutMicros, Terms terms,
+        WebSocketLimits webSocket) { }
--- /dev/null
+++ b/src/main/java/larkbank/route/WebSocketLimits.java
@@ -0,0 +1,14 @@
+package larkbank.route;
+
+/**
+ * What holds for the WebSocket connections of a route; times in microseconds, 0 for none.
+ *
+ * @param maxFrame largest payload of a frame, in bytes
+ * @param maxMessage largest message, in bytes as they are sent
+ * @param idleMicros without a data frame either way
+ * @param pingMicros between pings to each side
+ * @param pongMicros from a ping until its side counts as gone
+ * @param lifeMicros longest life
+ */
+public record WebSocketLimits(long maxFrame, long maxMessage, long idleMicros, long pingMicros,
+        long pongMicros, long lifeMicros) { }
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,11 +18,26 @@
     interface Client {
         /** Takes the content over. */
         void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content);
+
+        /** What comes behind the request belongs to what it asks to go over to. */
+        default void upgrading() { }
+
+        /** Whether nothing has come behind the request. */
+        default boolean isAlone() {
+            return true;
+        }
+
+        /** Passes a server's 101 on and gives the connection away; null where it is gone. */
+        default Upgrade.End goOver(FullHttpResponse answer) {
+            return null;
+        }
     }
 
     final Request request;
     /** The one that it was given to, also where its route leads elsewhere by now. */
     final Pool pool;
+    /** What it asks to go over to; null for a plain request. */
+    final Upgrade upgrade;
     final HttpMethod method;
     final String uri;
     final HttpHeaders headers;
@@ -34,19 +50,36 @@
     boolean over;
     /** Nothing of it is left: it is over and its attempts have ended. */
     boolean forgotten;
+    /** The last answer to an upgrade that was no 101, of a server that may have run it. */
+    Declined declined;
     Future<?> expiry;
 
-    Call(Request request, Pool pool, HttpMethod method, String uri, HttpHeaders headers, byte[] body,
-            Client client) {
+    Call(Request request, Way way, HttpMethod method, HttpHeaders headers, byte[] body, Client client) {
         this.request = request;
-        this.pool = pool;
+        pool = way.pool();
+        upgrade = way.upgrade();
+        uri = way.uri();
         this.method = method;
-        this.uri = uri;
         this.headers = headers;
         this.body = body;
         this.client = client;
     }
 
+    /** A server's own word on an upgrade. */
+    record Declined(HttpResponseStatus status, HttpHeaders headers, byte[] content) { }
+
+    /** A server's connection that is to go over to another protocol. */
+    interface Switched {
+        /** Gives the connection away. */
+        Upgrade.End goOver();
+
+        /** What it has become part of. */
+        void joined(Upgrade.Joined joined);
+
+        /** Nobody wants it any more. */
+        void close();
+    }
+
     /** One sending of a request to a server. */
     static final class Attempt {
         final Call call;
@@ -58,6 +91,8 @@
         boolean written;
         Result result;
         Future<?> timeout;
+        /** The server's connection once it has agreed to go over. */
+        Switched switched;
 
         Attempt(Call call, long server, long sentAt, long giveUpAt) {
             this.call = call;
--- a/src/main/java/larkbank/sidecar/ClientConnection.java
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -15,14 +15,18 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * A client's connection; it carries one request at a time. A request is taken once all that came with it
@@ -42,11 +46,13 @@
      */
     private static final long LINGER_MILLIS = 5_000;
     private static final long LINGER_QUIET_MILLIS = 300;
+    /** Bytes that may come behind a request for an upgrade before it is agreed to. */
+    private static final int MOST_EARLY = 64 * 1024;
 
     private final ClientServer server;
     private final ClientServer.Door door;
     private final Channel channel;
-    private final Decoder decoder = new Decoder();
+    private final Decoder decoder;
     private final long openedAt = System.nanoTime();
     /** Waits for the answer to the request in hand. */
     private Exchange client;
@@ -60,11 +66,16 @@
     private long answeredAt;
     /** Nothing that comes counts any more. */
     private boolean deaf;
+    /** What came behind a request for an upgrade. */
+    private final Link.Early early = new Link.Early();
+    /** The connection has gone over to another protocol, and nothing of it is dealt with here. */
+    private boolean switched;
 
     ClientConnection(ClientServer server, ClientServer.Door door, Channel channel) {
         this.server = server;
         this.door = door;
         this.channel = channel;
+        decoder = new Decoder(server.service()::upgrades);
     }
 
     /** The front's pipeline. */
@@ -80,9 +91,13 @@
         channel.close();
     }
 
+    long waitingBytes() {
+        return Link.waitingBytes(channel);
+    }
+
     /** Whether nothing is owed on it, and it is older than that. */
     boolean quiet(long millis) {
-        return client == null && !writing && age() > millis;
+        return client == null && !writing && !switched && age() > millis;
     }
 
     private long age() {
@@ -99,11 +114,16 @@
         server.closed(this);
         release();
         giveUp();
+        early.take().release();
+        context.fireChannelInactive();
     }
 
     /** Whether what comes now is to be read. */
     private boolean lets() {
         heardAt = System.nanoTime();
+        if (client != null && !deaf && client.upgrading) {
+            return true;
+        }
         if (client != null && !deaf) {
             // Clients send one request at a time. What comes behind can't be told from a wrong length of
             // the one in hand, which so is no request either.
@@ -127,11 +147,12 @@
 
     /** Since its last answer, if it waits for nothing and nothing of a request has come; else 0. */
     long idleMillis() {
-        return client != null || writing || deaf || awaited ? 0 : ClientServer.millisSince(answeredAt);
+        return client != null || writing || deaf || awaited || switched ? 0
+                : ClientServer.millisSince(answeredAt);
     }
 
     void checkTimes() {
-        if (client != null) {
+        if (client != null || switched) {
             return;
         }
         if (writing) {
@@ -156,7 +177,7 @@
 
     /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
     double spare() {
-        if (client != null || writing || age() <= ClientServer.QUIET_MILLIS) {
+        if (client != null || writing || switched || age() <= ClientServer.QUIET_MILLIS) {
             return 0;
         }
         double kind = deaf ? 3 : heardAt == 0 ? 2 : awaited ? 0 : 1;
@@ -164,6 +185,22 @@
         return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + idle);
     }
 
+    /** Bytes as they came: what is behind a request for an upgrade, or all, once that was agreed to. */
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (!(message instanceof ByteBuf raw)) {
+            super.channelRead(context, message);
+        } else if (switched && channel.pipeline().last() != this) {
+            context.fireChannelRead(raw);
+        } else {
+            early.add(raw);
+            if (early.size() > MOST_EARLY) {
+                giveUp();
+                reject(HttpResponseStatus.BAD_REQUEST, "too much before the upgrade was agreed to");
+            }
+        }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
         decoder.ended();
@@ -206,20 +243,27 @@
         }
         try {
             server.service().take(http, client);
+            if (client != null && !client.upgrading) {
+                decoder.switching = false;
+            }
         } catch (RequestReader.BadRequest e) {
             client = null;
-            reject(e.status(), e.getMessage());
+            reject(e.status(), e.getMessage(), e.headers());
         }
     }
 
     /** Answers what is no request and ends the connection; what still comes on it is thrown away. */
     private void reject(HttpResponseStatus status, String why) {
+        reject(status, why, new DefaultHttpHeaders());
+    }
+
+    private void reject(HttpResponseStatus status, String why, HttpHeaders headers) {
         if (deaf) {
             return;
         }
         release();
         client = new Exchange(false);
-        client.answer(status, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
+        client.answer(status, headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
                 Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8));
     }
 
@@ -232,7 +276,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!channel.isActive() || cause instanceof IOException) {
+        if (!channel.isActive() || switched || cause instanceof IOException) {
             context.close();
         } else if (client != null) {
             server.log("client connection: " + cause);
@@ -247,6 +291,7 @@
     /** One request in hand and its answer; only the first answer counts. */
     private final class Exchange implements Call.Client {
         private final boolean keep;
+        private boolean upgrading;
 
         Exchange(boolean keep) {
             this.keep = keep;
@@ -259,7 +304,7 @@
                 return;
             }
             client = null;
-            deaf = !keep || server.endsAfterAnswer(door);
+            deaf = !keep || upgrading || server.endsAfterAnswer(door);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                     headers, new DefaultHttpHeaders());
             HttpUtil.setContentLength(response, content.readableBytes());
@@ -271,6 +316,41 @@
             channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
         }
 
+        @Override
+        public void upgrading() {
+            upgrading = true;
+        }
+
+        @Override
+        public boolean isAlone() {
+            return early.size() == 0;
+        }
+
+        @Override
+        public Upgrade.End goOver(FullHttpResponse answer) {
+            if (client != this || !channel.isActive()) {
+                return null;
+            }
+            client = null;
+            switched = true;
+            server.switched(ClientConnection.this);
+            channel.config().setAutoRead(false);
+            HttpHeaders headers = Headers.endToEnd(answer.headers());
+            headers.remove(Headers.LOAD);
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+            headers.set(HttpHeaderNames.CONNECTION, "Upgrade")
+                    .set(HttpHeaderNames.UPGRADE, answer.headers().get(HttpHeaderNames.UPGRADE));
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.SWITCHING_PROTOCOLS, Unpooled.EMPTY_BUFFER, headers,
+                    new DefaultHttpHeaders()));
+            // The decoder hands on what it still holds, which comes here as bytes.
+            channel.pipeline().remove(decoder);
+            while (channel.pipeline().first() != ClientConnection.this) {
+                channel.pipeline().removeFirst();
+            }
+            return new Upgrade.End(channel, early.take());
+        }
+
         private void written(boolean whole) {
             writing = false;
             if (!whole) {
@@ -283,7 +363,33 @@
 
     /** Shows whether it holds a part of a further message. */
     private static final class Decoder extends HttpRequestDecoder {
+        private final BooleanSupplier upgrades;
         private boolean begun;
+        /** The message at hand asks to go over to another protocol; it has come whole. */
+        private boolean asks;
+        private boolean switching;
+
+        Decoder(BooleanSupplier upgrades) {
+            this.upgrades = upgrades;
+        }
+
+        /** What is behind a request for an upgrade is none of HTTP. */
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out)
+                throws Exception {
+            if (switching) {
+                out.add(bytes.readRetainedSlice(bytes.readableBytes()));
+                return;
+            }
+            int before = out.size();
+            super.decode(context, bytes, out);
+            for (int i = before; i < out.size(); i++) {
+                if (out.get(i) instanceof HttpRequest head) {
+                    asks = head.headers().contains(HttpHeaderNames.UPGRADE) && upgrades.getAsBoolean();
+                }
+                switching |= asks && out.get(i) instanceof LastHttpContent;
+            }
+        }
 
         @Override
         protected HttpMessage createMessage(String[] initialLine) throws Exception {
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -13,12 +13,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** The listening side: reads clients' requests, writes their answers, and closes down without losing any. */
 final class ClientServer {
@@ -28,6 +30,11 @@
         /** Whether a request would find a server. */
         boolean ready();
 
+        /** Whether what comes behind a request may belong to what it asks to go over to. */
+        default boolean upgrades() {
+            return false;
+        }
+
         /** A request to be answered through its client, by an exception at the latest. */
         void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest;
 
@@ -54,6 +61,8 @@
     private boolean sweeping;
     private final Consumer<String> log;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Those that have gone over to another protocol: they count, and there is nothing to look after. */
+    private final Set<ClientConnection> switched = new HashSet<>();
     /** How many connections are accepted in one turn of the loop. */
     private final ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
     private final List<Door> doors = new ArrayList<>();
@@ -117,6 +126,7 @@
     /** Closes all at once, whoever waits; the address is free when that is done. */
     Future<Void> close() {
         List.copyOf(connections).forEach(ClientConnection::close);
+        List.copyOf(switched).forEach(ClientConnection::close);
         Future<Void> last = loop.newSucceededFuture(null);
         for (Door door : doors) {
             last = door.channel.close();
@@ -161,7 +171,8 @@
         if (millisSince(door.acceptedAt) > QUIET_MILLIS && allIn) {
             door.channel.close();
         }
-        if (!door.channel.isOpen() && connections.stream().noneMatch(c -> c.door() == door)) {
+        if (!door.channel.isOpen() && Stream.concat(connections.stream(), switched.stream())
+                .noneMatch(c -> c.door() == door)) {
             doors.remove(door);
             ended.run();
         } else {
@@ -176,8 +187,18 @@
         makeRoom();
     }
 
+    void switched(ClientConnection connection) {
+        connections.remove(connection);
+        switched.add(connection);
+    }
+
+    private int size() {
+        return connections.size() + switched.size();
+    }
+
     void closed(ClientConnection connection) {
         connections.remove(connection);
+        switched.remove(connection);
         makeRoom();
     }
 
@@ -189,6 +210,11 @@
         return door.closing || !door.channel.config().isAutoRead();
     }
 
+    long waitingBytes() {
+        return Stream.concat(connections.stream(), switched.stream())
+                .mapToLong(ClientConnection::waitingBytes).sum();
+    }
+
     Service service() {
         return service;
     }
@@ -217,7 +243,7 @@
      * in clients and floods of them too. Harm: a client that asks less often connects anew.
      */
     private void closeSurplus() {
-        int surplus = connections.size() - most / 2;
+        int surplus = size() - most / 2;
         if (surplus > 0) {
             connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
                     .sorted(Comparator.comparingLong(ClientConnection::idleMillis).reversed()).limit(surplus)
@@ -238,7 +264,7 @@
      */
     private void makeRoom() {
         ClientConnection victim = null;
-        if (connections.size() >= most) {
+        if (size() >= most) {
             for (ClientConnection c : connections) {
                 if (c.spare() > (victim == null ? 0 : victim.spare())) {
                     victim = c;
@@ -248,8 +274,8 @@
                 victim.close();
             }
         }
-        accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - connections.size())));
-        boolean room = victim != null || connections.size() < most;
+        accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - size())));
+        boolean room = victim != null || size() < most;
         for (Door door : doors) {
             door.channel.config().setAutoRead(room);
         }
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -32,6 +32,17 @@
     /** The way of a request, or why it has none. */
     Way way(FullHttpRequest http) throws RequestReader.BadRequest;
 
+    /** Whether requests for an upgrade can have a way as such. */
+    default boolean upgrades() {
+        return false;
+    }
+
+    /** Bytes that wait to be written to servers. */
+    long waitingBytes();
+
+    /** The process is to end: what has gone over to another protocol ends in order. */
+    default void stopping() { }
+
     /** Whether a request would find a server in some pool. */
     boolean ready();
 
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -1,12 +1,15 @@
 package larkbank.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
@@ -58,6 +61,9 @@
     private final Decoder decoder = new Decoder();
     /** A request has been sent and its answer not been told. */
     private boolean asked;
+    /** That request asks to go over to another protocol. */
+    private boolean upgrading;
+    private final Early early = new Early();
     private boolean down;
     private String failure = "connection lost";
 
@@ -133,6 +139,12 @@
     }
 
     void send(FullHttpRequest request) {
+        send(request, false);
+    }
+
+    /** The same; a 101 to a request for an upgrade is an answer. */
+    void send(FullHttpRequest request, boolean upgrade) {
+        upgrading = upgrade;
         asked = true;
         channel.writeAndFlush(request).addListener(f -> {
             if (f.isSuccess()) {
@@ -147,6 +159,27 @@
         channel.close();
     }
 
+    /** After a 101: gives the connection away, with what came behind the answer; its end is still told. */
+    Upgrade.End goOver() {
+        channel.config().setAutoRead(false);
+        // The decoder hands on what it still holds.
+        channel.pipeline().remove(decoder);
+        while (channel.pipeline().first() != null) {
+            channel.pipeline().removeFirst();
+        }
+        return new Upgrade.End(channel, early.take());
+    }
+
+    long waitingBytes() {
+        return waitingBytes(channel);
+    }
+
+    /** Bytes that a connection's owner has written and the socket has not taken. */
+    static long waitingBytes(Channel channel) {
+        ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
+        return waiting == null ? 0 : waiting.totalPendingWriteBytes();
+    }
+
     /** Why it is down, for people. */
     String failure() {
         return failure;
@@ -172,16 +205,51 @@
         }
     }
 
+    /** Collects what comes behind a handshake until its connection has gone over. */
+    static final class Early {
+        private ByteBuf bytes = Unpooled.EMPTY_BUFFER;
+
+        /** Takes the buffer over. */
+        void add(ByteBuf more) {
+            bytes = bytes == Unpooled.EMPTY_BUFFER ? Unpooled.buffer() : bytes;
+            bytes.writeBytes(more);
+            more.release();
+        }
+
+        int size() {
+            return bytes.readableBytes();
+        }
+
+        ByteBuf take() {
+            ByteBuf taken = bytes;
+            bytes = Unpooled.EMPTY_BUFFER;
+            return taken;
+        }
+    }
+
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         /** Whole, and told once all is read that came with it. */
         private FullHttpResponse whole;
         private boolean more;
 
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            if (message instanceof ByteBuf raw) {
+                // Only behind a 101 does the decoder let bytes pass.
+                early.add(raw);
+            } else {
+                super.channelRead(context, message);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
             decoder.ended();
             if (whole != null) {
                 more = true;
+            } else if (upgrading && answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                    && answer.decoderResult().isSuccess()) {
+                whole = answer.retain();
             } else if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL
                     && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 // One or more of them may go ahead of the answer.
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -23,6 +23,7 @@
 import larkbank.route.Plan;
 import larkbank.route.PoolPlan;
 import larkbank.route.StaticServer;
+import larkbank.websocket.UpgradeAccount;
 
 /** What an operators' file says: its addresses, its routes, and a pool with a module of its own for each. */
 final class OperatorsLayout implements Layout {
@@ -36,6 +37,8 @@
     private final Map<InetSocketAddress, ClientServer.Door> doors = new LinkedHashMap<>();
     private Plan plan;
     private OperatorsRouting routing;
+    /** Made once a route has WebSockets, and kept from then on. */
+    private WebSocketUpgrades upgrades;
 
     private record Member(Pool pool, boolean discovered) { }
 
@@ -74,7 +77,28 @@
     private OperatorsRouting route(Plan next) {
         Map<String, Pool> byName = new LinkedHashMap<>();
         pools.forEach((name, member) -> byName.put(name, member.pool()));
-        return new OperatorsRouting(next.router(), byName);
+        if (next.webSockets() && upgrades == null) {
+            upgrades = new WebSocketUpgrades(parts.shared().loop(), parts.shared().clock(),
+                    parts.config().settings().seed());
+        }
+        return new OperatorsRouting(next.router(), byName, next.webSockets() ? upgrades : null);
+    }
+
+    @Override
+    public boolean upgrades() {
+        return plan.webSockets();
+    }
+
+    @Override
+    public void stopping() {
+        if (upgrades != null) {
+            upgrades.stopping();
+        }
+    }
+
+    /** What has been counted of upgrades; null where no route ever had any. */
+    UpgradeAccount.Counters counters() {
+        return upgrades == null ? null : upgrades.counters();
     }
 
     @Override
@@ -142,6 +166,11 @@
         return pools.values().stream().anyMatch(m -> m.pool().ready());
     }
 
+    @Override
+    public long waitingBytes() {
+        return pools.values().stream().mapToLong(m -> m.pool().waitingBytes()).sum();
+    }
+
     @Override
     public Collection<Pool> discovered() {
         return pools.values().stream().filter(Member::discovered).map(Member::pool).toList();
--- a/src/main/java/larkbank/sidecar/OperatorsRouting.java
+++ b/src/main/java/larkbank/sidecar/OperatorsRouting.java
@@ -14,14 +14,18 @@
 import larkbank.route.Route;
 import larkbank.route.Router;
 import larkbank.route.Target;
+import larkbank.websocket.Handshake;
 
 /** Finds the way of a request by its route. What goes on is the normal form that was matched. */
 final class OperatorsRouting {
 
     private final Router<Target> router;
     private final Map<String, Pool> pools;
+    /** Null where no route has any. */
+    private final WebSocketUpgrades upgrades;
 
-    OperatorsRouting(Router<Target> router, Map<String, Pool> pools) {
+    OperatorsRouting(Router<Target> router, Map<String, Pool> pools, WebSocketUpgrades upgrades) {
+        this.upgrades = upgrades;
         this.router = router;
         this.pools = pools;
     }
@@ -38,8 +42,9 @@
                 throw new RequestReader.BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
             }
             Target to = route.target();
+            boolean asked = upgrades != null && to.webSocket() != null && Handshake.isAsked(http.headers());
             return new Way(pools.get(to.pool()), to.requestClass(), target.text(), target.host(),
-                    to.timeoutMicros(), to.terms());
+                    to.timeoutMicros(), to.terms(), asked ? upgrades.ask(http, to.webSocket()) : null);
         } catch (BadTarget e) {
             throw new RequestReader.BadRequest(e.getMessage());
         }
--- a/src/main/java/larkbank/sidecar/PlainLayout.java
+++ b/src/main/java/larkbank/sidecar/PlainLayout.java
@@ -40,6 +40,11 @@
         return pool.ready();
     }
 
+    @Override
+    public long waitingBytes() {
+        return pool.waitingBytes();
+    }
+
     @Override
     public Collection<Pool> discovered() {
         return List.of(pool);
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -70,6 +70,10 @@
         return servers.anyReady();
     }
 
+    long waitingBytes() {
+        return servers.waitingBytes();
+    }
+
     ServerList list() {
         return servers.list();
     }
@@ -85,6 +89,9 @@
 
     /** The client of a request has left. */
     void left(Call call) {
+        if (call.upgrade != null) {
+            call.upgrade.left();
+        }
         over(call);
         tell(null, now -> module.clientLeft(now, call.request.id()));
     }
@@ -163,7 +170,9 @@
         attempt.result = result;
         attempt.timeout.cancel(false);
         call.out--;
-        if (result == Result.SERVED && !call.over) {
+        if (result == Result.SERVED && call.upgrade != null) {
+            goOver(call, attempt, answer);
+        } else if (result == Result.SERVED && !call.over) {
             HttpHeaders headers = Headers.endToEnd(answer.headers());
             headers.remove(Headers.LOAD);
             Call.Client client = call.client;
@@ -175,6 +184,23 @@
         forget(call);
     }
 
+    /** A server has said 101: its client hears so now, and the two connections are joined. */
+    private void goOver(Call call, Attempt attempt, FullHttpResponse answer) {
+        if (call.over) {
+            attempt.switched.close();
+            return;
+        }
+        Call.Client client = call.client;
+        over(call);
+        Upgrade.End clientEnd = client.goOver(answer);
+        if (clientEnd == null) {
+            call.upgrade.left();
+            attempt.switched.close();
+            return;
+        }
+        attempt.switched.joined(call.upgrade.join(answer, clientEnd, attempt.switched.goOver()));
+    }
+
     // ---- Actions of the module
 
     @Override
@@ -189,6 +215,9 @@
         Attempt attempt = new Attempt(call, server, now, giveUpAt);
         call.attempts.add(attempt);
         call.out++;
+        if (call.upgrade != null) {
+            call.upgrade.tried();
+        }
         attempt.timeout = loop.schedule(() -> stopWaiting(attempt, Result.TIMED_OUT), giveUpAt - now,
                 TimeUnit.MICROSECONDS);
         servers.start(attempt);
@@ -256,9 +285,20 @@
     // ---- The one answer
 
     private void answer(Call call, HttpResponseStatus status, HttpHeaders headers) {
-        if (call != null && !call.over) {
-            over(call);
+        if (call == null || call.over) {
+            return;
+        }
+        over(call);
+        if (call.upgrade == null) {
+            call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
+        } else if (call.declined == null) {
+            call.upgrade.answered(status);
             call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
+        } else {
+            // A server's own word says more than that no server agreed; it is never a refusal.
+            call.upgrade.answered(call.declined.status());
+            call.client.answer(call.declined.status(), call.declined.headers(),
+                    Unpooled.wrappedBuffer(call.declined.content()));
         }
     }
 
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -24,14 +25,24 @@
         private static final long serialVersionUID = 1L;
 
         private final transient HttpResponseStatus status;
+        private final transient HttpHeaders headers;
 
         BadRequest(String message) {
             this(HttpResponseStatus.BAD_REQUEST, message);
         }
 
         BadRequest(HttpResponseStatus status, String message) {
+            this(status, message, new DefaultHttpHeaders());
+        }
+
+        BadRequest(HttpResponseStatus status, String message, HttpHeaders headers) {
             super(message);
             this.status = status;
+            this.headers = headers;
+        }
+
+        HttpHeaders headers() {
+            return headers;
         }
 
         HttpResponseStatus status() {
@@ -67,7 +78,7 @@
         if (requestClass == null) {
             throw new BadRequest("no such class");
         }
-        return new Way(pool, requestClass, http.uri(), null, Long.MAX_VALUE, Terms.NONE);
+        return new Way(pool, requestClass, http.uri(), null, Long.MAX_VALUE, Terms.NONE, null);
     }
 
     /** Refuses what is not HTTP or is framed in a way that has more than one meaning. */
@@ -85,7 +96,7 @@
         int slash = path.indexOf('/');
         int requestClass = way.requestClass();
         boolean write = settings.classes().get(requestClass).effect() != Effect.SAFE;
-        checkMethod(http, settings.classes().get(requestClass).effect());
+        checkMethod(http, settings.classes().get(requestClass).effect(), way.upgrade() != null);
         String id = Headers.single(headers, Headers.REQUEST_ID);
         if (id == null || id.isEmpty() || id.length() > MAX_ID) {
             throw new BadRequest("no " + Headers.REQUEST_ID);
@@ -102,8 +113,7 @@
         if (way.host() != null) {
             headers.set(HttpHeaderNames.HOST, way.host());
         }
-        return new Call(request, way.pool(), http.method(), way.uri(), headers,
-                ByteBufUtil.getBytes(http.content()), client);
+        return new Call(request, way, http.method(), headers, ByteBufUtil.getBytes(http.content()), client);
     }
 
     /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
@@ -127,9 +137,10 @@
     }
 
     /** The method and the key say what the client takes the class for; it must be what the settings say. */
-    private static void checkMethod(FullHttpRequest http, Effect effect) throws BadRequest {
+    private static void checkMethod(FullHttpRequest http, Effect effect, boolean upgrade)
+            throws BadRequest {
         List<String> keys = http.headers().getAll(Headers.IDEMPOTENCY_KEY);
-        HttpMethod wanted = effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        HttpMethod wanted = effect == Effect.SAFE || upgrade ? HttpMethod.GET : HttpMethod.POST;
         if (!http.method().equals(wanted)) {
             throw new BadRequest("this class wants " + wanted);
         }
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -1,5 +1,6 @@
 package larkbank.sidecar;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -63,6 +64,8 @@
         long leavingSince;
         /** Not on the list any more: nothing new goes to it, and it is forgotten with its connections. */
         boolean gone;
+        /** Those of its connections that have gone over to another protocol. */
+        final Set<Connection> switched = new LinkedHashSet<>(0);
         /** Connections of any state. */
         int connections;
         /** The most recently used last. */
@@ -133,6 +136,7 @@
         if (node.leavingSince == 0) {
             node.leavingSince = now;
             closeIdle(node);
+            node.switched.forEach(c -> c.joined.goAway(drainGraceMicros));
         }
     }
 
@@ -145,6 +149,12 @@
         }
     }
 
+    /** Bytes that wait to be written on connections that have gone over to another protocol. */
+    long waitingBytes() {
+        return nodes.values().stream().flatMap(n -> n.switched.stream())
+                .mapToLong(c -> c.link.waitingBytes()).sum();
+    }
+
     /** The servers as last told, those that are not gone. */
     ServerList list() {
         return new ServerList(0, true, nodes.values().stream().filter(n -> !n.gone)
@@ -247,8 +257,9 @@
     }
 
     /** A connection to a server: coming up, carrying an attempt, or idle. */
-    private final class Connection implements Link.Owner {
+    private final class Connection implements Link.Owner, Call.Switched {
         private final Node node;
+        private Upgrade.Joined joined;
         private final Link link;
         private Attempt attempt;
         private long idleSince;
@@ -279,13 +290,18 @@
                 end(unsent, Result.NOT_SENT, null, null);
                 return;
             }
-            link.send(request(attempt, now));
+            link.send(request(attempt, now), attempt.call.upgrade != null);
         }
 
         private FullHttpRequest request(Attempt a, long now) {
             Call call = a.call;
             HttpHeaders headers = Headers.endToEnd(call.headers);
             headers.set(Headers.TIMEOUT, Math.max(1, (a.giveUpAt - now) / 1000));
+            if (call.upgrade != null) {
+                call.upgrade.ask(headers);
+                return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri,
+                        Unpooled.EMPTY_BUFFER, headers, new DefaultHttpHeaders());
+            }
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
             if (call.body.length > 0 || !call.method.equals(HttpMethod.GET)) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
@@ -330,10 +346,20 @@
                 link.close();
                 return;
             }
-            Result result = result(answer);
+            Result result = attempt.call.upgrade == null ? result(answer) : upgraded(attempt.call, answer);
             LoadReport report = LoadReports.parse(answer.headers().getAll(Headers.LOAD));
             Attempt done = attempt;
-            if (clean && HttpUtil.isKeepAlive(answer)) {
+            if (result == Result.SERVED && done.call.upgrade != null) {
+                attempt = null;
+                done.switched = this;
+                end(done, result, report, answer);
+                if (joined == null) {
+                    link.close();
+                }
+                return;
+            }
+            boolean http = !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            if (clean && http && HttpUtil.isKeepAlive(answer)) {
                 rest();
             } else {
                 attempt = null;
@@ -342,6 +368,42 @@
             end(done, result, report, answer);
         }
 
+        /** Only a 101 that answers what was asked serves; what else a server says is kept for the client. */
+        private static Result upgraded(Call call, FullHttpResponse answer) {
+            boolean switching = answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            if (switching) {
+                return call.upgrade.fault(answer) == null ? Result.SERVED : Result.ERROR;
+            }
+            Result result = result(answer);
+            boolean refusal = answer.status().code() == 503 || answer.status().code() == 429;
+            if (result != Result.FULL && !refusal) {
+                HttpHeaders headers = Headers.endToEnd(answer.headers());
+                headers.remove(Headers.LOAD);
+                call.declined = new Call.Declined(answer.status(), headers,
+                        ByteBufUtil.getBytes(answer.content()));
+            }
+            return result == Result.SERVED ? Result.ERROR : result;
+        }
+
+        @Override
+        public Upgrade.End goOver() {
+            return link.goOver();
+        }
+
+        @Override
+        public void joined(Upgrade.Joined with) {
+            joined = with;
+            node.switched.add(this);
+            if (node.leavingSince != 0) {
+                joined.goAway(Math.max(0, node.leavingSince + drainGraceMicros - clock.micros()));
+            }
+        }
+
+        @Override
+        public void close() {
+            link.close();
+        }
+
         private static Result result(FullHttpResponse answer) {
             int status = answer.status().code();
             if (status == HttpResponseStatus.OK.code()) {
@@ -356,6 +418,7 @@
         public void closed() {
             open--;
             node.connections--;
+            node.switched.remove(this);
             node.idle.remove(this);
             idleOrder.remove(this);
             if (node.gone && node.connections == 0) {
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -1,9 +1,13 @@
 package larkbank.sidecar;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -182,12 +186,18 @@
         }, loop).thenCompose(address -> address);
     }
 
+    /** Bytes that wait to be written to clients and servers. */
+    long waitingBytes() {
+        return clients.waitingBytes() + layout.waitingBytes();
+    }
+
     /** Answers all in hand, then ends. */
     void stop(Runnable ended) {
         if (stopping) {
             return;
         }
         stopping = true;
+        layout.stopping();
         clients.end(() -> {
             discovery.close();
             layout.close();
@@ -205,6 +215,11 @@
         feed.failed();
     }
 
+    @Override
+    public boolean upgrades() {
+        return layout.upgrades();
+    }
+
     @Override
     public boolean ready() {
         return !stopping && layout.ready();
@@ -213,10 +228,23 @@
     @Override
     public void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest {
         RequestReader.check(http);
-        Call call = reader.read(clock.micros(), http, layout.way(http), client);
+        Way way = layout.way(http);
+        if (way.upgrade() != null && stopping) {
+            client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    new DefaultHttpHeaders().set(HttpHeaderNames.RETRY_AFTER, "1"), Unpooled.EMPTY_BUFFER);
+            return;
+        }
+        Call call = reader.read(clock.micros(), http, way, client);
+        if (call.upgrade == null && !client.isAlone()) {
+            throw new RequestReader.BadRequest("more than one request");
+        }
         if (!inHand.add(call)) {
             throw new RequestReader.BadRequest("this " + Headers.REQUEST_ID + " is in hand");
         }
+        if (call.upgrade != null) {
+            client.upgrading();
+            call.upgrade.taken();
+        }
         call.pool.take(call);
     }
 
--- a/src/main/java/larkbank/sidecar/Way.java
+++ b/src/main/java/larkbank/sidecar/Way.java
@@ -9,5 +9,7 @@
  * @param uri what goes on to the server
  * @param host what goes on as {@code Host} in place of what came; null where that stays
  * @param timeoutMicros the longest that it may take, whatever its client says
+ * @param upgrade the upgrade that it asks for; null for a plain request
  */
-record Way(Pool pool, int requestClass, String uri, String host, long timeoutMicros, Terms terms) { }
+record Way(Pool pool, int requestClass, String uri, String host, long timeoutMicros, Terms terms,
+        Upgrade upgrade) { }
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/WebSocketUpgrades.java
@@ -0,0 +1,112 @@
+package larkbank.sidecar;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.SplittableRandom;
+import larkbank.route.WebSocketLimits;
+import larkbank.websocket.Handshake;
+import larkbank.websocket.Tunnel;
+import larkbank.websocket.Tunnels;
+import larkbank.websocket.UpgradeAccount;
+import larkbank.websocket.UpgradeAccount.Event;
+
+/** Upgrades to WebSocket, and the tunnels that come of them. */
+final class WebSocketUpgrades {
+
+    /** Open tunnels end over this time where the process does. */
+    private static final long SPREAD_MICROS = 1_000_000;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final SplittableRandom random;
+    private final Tunnels tunnels;
+    private final UpgradeAccount.Counters counters = new UpgradeAccount.Counters();
+
+    WebSocketUpgrades(EventLoop loop, Clock clock, long seed) {
+        this.loop = loop;
+        this.clock = clock;
+        random = new SplittableRandom(seed);
+        tunnels = new Tunnels(loop, clock::micros);
+    }
+
+    UpgradeAccount.Counters counters() {
+        return counters;
+    }
+
+    /** Reads a request that asks for one. */
+    Upgrade ask(FullHttpRequest http, WebSocketLimits limits) throws RequestReader.BadRequest {
+        try {
+            return new Asked(Handshake.read(http), limits);
+        } catch (Handshake.Refused e) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            if (e.status().equals(HttpResponseStatus.UPGRADE_REQUIRED)) {
+                headers.set(HttpHeaderNames.SEC_WEBSOCKET_VERSION, Handshake.VERSION)
+                        .set(HttpHeaderNames.UPGRADE, "websocket");
+            }
+            throw new RequestReader.BadRequest(e.status(), e.getMessage(), headers);
+        }
+    }
+
+    void stopping() {
+        tunnels.goAway(SPREAD_MICROS);
+    }
+
+    private final class Asked implements Upgrade {
+        private final Handshake handshake;
+        private final WebSocketLimits limits;
+        private UpgradeAccount account;
+
+        Asked(Handshake handshake, WebSocketLimits limits) {
+            this.handshake = handshake;
+            this.limits = limits;
+        }
+
+        @Override
+        public void taken() {
+            account = new UpgradeAccount(counters);
+        }
+
+        @Override
+        public void ask(HttpHeaders headers) {
+            handshake.ask(headers);
+        }
+
+        @Override
+        public void tried() {
+            account.on(Event.TRY);
+        }
+
+        @Override
+        public String fault(FullHttpResponse answer) {
+            return handshake.fault(answer);
+        }
+
+        @Override
+        public void answered(HttpResponseStatus status) {
+            boolean refusal = status.code() == 503 || status.code() == 429;
+            account.on(refusal ? Event.REFUSE : Event.FAIL);
+        }
+
+        @Override
+        public void left() {
+            account.on(Event.LEAVE);
+        }
+
+        @Override
+        public Joined join(FullHttpResponse answer, End client, End server) {
+            account.on(Event.OPEN);
+            Tunnel tunnel = new Tunnel(limits, Handshake.isCompressed(answer), client.channel(),
+                    server.channel(), clock::micros, random, account, tunnels::remove);
+            tunnels.add(tunnel);
+            tunnel.begin(client.early(), server.early());
+            return within -> Tunnels.goAway(loop, clock::micros, List.of(tunnel),
+                    within == 0 ? 0 : random.nextLong(within));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/websocket/Tunnel.java
@@ -0,0 +1,314 @@
+package larkbank.websocket;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import larkbank.route.WebSocketLimits;
+import larkbank.websocket.UpgradeAccount.Event;
+
+/**
+ * A client's and a server's connection that carry frames for each other. Each piece that comes on one side
+ * goes
+ * out on the other as a frame of its own, so a frame is never torn, whatever breaks. A side whose peer reads
+ * slowly is not read from. All of it runs on one event loop.
+ */
+public final class Tunnel {
+
+    /** What a tunnel tells, always on the event loop. */
+    public interface Listener {
+        /** Both sides are down; nothing more comes of it. */
+        void ended(Tunnel tunnel);
+    }
+
+    /** Bytes that wait to be written to one side: above the upper the other is not read, until the lower. */
+    static final WriteBufferWaterMark WAITING = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
+    /** From the first close frame until both sides must be down. */
+    static final long CLOSE_MICROS = 2_000_000;
+
+    private static final int MARK = 8;
+
+    private final WebSocketLimits limits;
+    private final UpgradeAccount account;
+    private final Listener listener;
+    private final SplittableRandom random;
+    private final LongSupplier clock;
+    private final Side client;
+    private final Side server;
+    private final long openedAt;
+    private long dataAt;
+    private long closingAt;
+    private boolean ended;
+
+    /** Between two connections whose pipelines have nothing left that reads; it takes over both. */
+    public Tunnel(WebSocketLimits limits, boolean compressed, Channel client, Channel server,
+            LongSupplier clock, SplittableRandom random, UpgradeAccount account, Listener listener) {
+        this.limits = limits;
+        this.clock = clock;
+        this.account = account;
+        this.listener = listener;
+        this.random = random;
+        openedAt = clock.getAsLong();
+        dataAt = openedAt;
+        this.client = new Side(client, true, compressed, openedAt);
+        this.server = new Side(server, false, compressed, openedAt);
+        this.client.other = this.server;
+        this.server.other = this.client;
+    }
+
+    /** Begins to carry; what came early on either side goes first. The buffers are taken over. */
+    public void begin(ByteBuf earlyFromClient, ByteBuf earlyFromServer) {
+        for (Side side : new Side[] {client, server}) {
+            side.channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING);
+        }
+        server.read(earlyFromServer);
+        client.read(earlyFromClient);
+        client.channel.flush();
+        server.channel.flush();
+        client.channel.pipeline().addLast("tunnel", client);
+        server.channel.pipeline().addLast("tunnel", server);
+        client.channel.config().setAutoRead(server.channel.isWritable());
+        server.channel.config().setAutoRead(client.channel.isWritable());
+        if (!client.channel.isActive()) {
+            client.down();
+        }
+        if (!server.channel.isActive()) {
+            server.down();
+        }
+    }
+
+    /** Whether a close frame has gone either way, or a side has broken. */
+    public boolean isClosing() {
+        return closingAt != 0;
+    }
+
+    /** Whether a message has begun on either side and not ended. */
+    public boolean inMessage() {
+        return client.reader.inMessage() || server.reader.inMessage();
+    }
+
+    /** When the last data frame came, in microseconds. */
+    public long dataAt() {
+        return dataAt;
+    }
+
+    /** Ends it in order: both sides are sent a close frame, and have their time to answer it. */
+    public void close(int code, String reason, long nowMicros) {
+        if (closingAt == 0) {
+            account.on(Event.SIDECAR_CLOSES);
+            closing(nowMicros);
+            client.sendClose(Frames.closing(code, reason));
+            server.sendClose(Frames.closing(code, reason));
+            client.channel.flush();
+            server.channel.flush();
+        }
+    }
+
+    /** Ends both sides at once. */
+    public void abort() {
+        client.channel.close();
+        server.channel.close();
+    }
+
+    /** Looks at its times; to be called now and then. */
+    public void check(long now) {
+        if (closingAt != 0) {
+            if (now - closingAt > CLOSE_MICROS) {
+                abort();
+            }
+        } else if (limits.lifeMicros() > 0 && now - openedAt >= limits.lifeMicros()) {
+            close(Frames.GOING_AWAY, "longest life", now);
+        } else if (limits.idleMicros() > 0 && now - dataAt >= limits.idleMicros()) {
+            close(Frames.GOING_AWAY, "idle", now);
+        } else if (limits.pingMicros() > 0) {
+            client.ping(now);
+            server.ping(now);
+        }
+    }
+
+    private void closing(long now) {
+        closingAt = closingAt == 0 ? Math.max(1, now) : closingAt;
+    }
+
+    private long now() {
+        return clock.getAsLong();
+    }
+
+    private void sideDown() {
+        if (client.down && server.down && !ended) {
+            ended = true;
+            account.on(Event.END);
+            listener.ended(this);
+        }
+    }
+
+    /** One of the two connections. */
+    private final class Side extends ChannelInboundHandlerAdapter implements FrameReader.Sink {
+        private final Channel channel;
+        private final boolean isClient;
+        private final FrameReader reader;
+        private Side other;
+        private boolean closeSent;
+        private boolean closeGot;
+        private boolean down;
+        private long pingedAt;
+        /** The payload of the ping that has not been answered; null where there is none. */
+        private byte[] ping;
+
+        Side(Channel channel, boolean isClient, boolean compressed, long now) {
+            this.channel = channel;
+            this.isClient = isClient;
+            pingedAt = now;
+            reader = new FrameReader(isClient, compressed, limits.maxFrame(), limits.maxMessage(), this);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes) {
+                read(bytes);
+            } else {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(ByteBuf bytes) {
+            try {
+                reader.read(bytes);
+            } catch (Violation e) {
+                violated(e);
+            } finally {
+                bytes.release();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            other.channel.flush();
+            channel.flush();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            other.channel.config().setAutoRead(channel.isWritable());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            down();
+            context.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        @Override
+        public void data(int opcode, boolean compressed, ByteBuf payload, boolean last) {
+            dataAt = now();
+            other.send(opcode, last, compressed, payload);
+        }
+
+        @Override
+        public void control(int opcode, byte[] payload) {
+            if (opcode == Frames.CLOSE) {
+                closeGot(payload);
+            } else if (opcode == Frames.PONG && ping != null && Arrays.equals(payload, ping)) {
+                ping = null;
+            } else {
+                other.send(opcode, true, false, Unpooled.wrappedBuffer(payload));
+            }
+        }
+
+        private void closeGot(byte[] payload) {
+            closeGot = true;
+            account.on(isClient ? Event.CLIENT_CLOSES : Event.SERVER_CLOSES);
+            closing(now());
+            other.sendClose(payload);
+            other.channel.flush();
+            endIfDone();
+        }
+
+        /** Both have said good-bye to both: the server's connection goes first (RFC 6455, section 7.1.1). */
+        private void endIfDone() {
+            if (closeGot && closeSent && (other.down || other.closeGot && other.closeSent)) {
+                server.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> server.channel.close());
+                client.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> client.channel.close());
+            }
+        }
+
+        private void violated(Violation violation) {
+            account.on(isClient ? Event.CLIENT_CLOSES : Event.SERVER_CLOSES);
+            closing(now());
+            sendClose(Frames.closing(violation.code(), violation.getMessage()));
+            other.sendClose(Frames.closing(isClient ? Frames.GOING_AWAY : Frames.SERVER_ERROR,
+                    isClient ? "the client broke the protocol" : "the server broke the protocol"));
+            // What it still sends can't be read any more; it has the rest of the time to hear why.
+            closeGot = true;
+            channel.flush();
+            other.channel.flush();
+        }
+
+        private void down() {
+            if (down) {
+                return;
+            }
+            down = true;
+            if (closingAt == 0) {
+                account.on(Event.BREAK);
+                closing(now());
+            }
+            other.sendClose(Frames.closing(isClient ? Frames.GOING_AWAY : Frames.SERVER_ERROR,
+                    isClient ? "the client is gone" : "the server is gone"));
+            other.channel.flush();
+            other.channel.config().setAutoRead(true);
+            other.endIfDone();
+            sideDown();
+        }
+
+        private void sendClose(byte[] payload) {
+            if (!closeSent && !down) {
+                send(Frames.CLOSE, true, false, Unpooled.wrappedBuffer(payload));
+                closeSent = true;
+            }
+        }
+
+        private void send(int opcode, boolean last, boolean compressed, ByteBuf payload) {
+            if (closeSent || down) {
+                payload.release();
+                return;
+            }
+            byte[] mask = null;
+            if (!isClient) {
+                mask = new byte[4];
+                ByteBuffer.wrap(mask).putInt(random.nextInt());
+            }
+            channel.write(Frames.frame(opcode, last, compressed, payload, mask));
+        }
+
+        /** A side that does not answer within its time is gone, though its connection says nothing. */
+        private void ping(long now) {
+            if (!channel.config().isAutoRead()) {
+                // Nothing is read from it, so no answer can be seen.
+                ping = null;
+                pingedAt = now;
+            } else if (ping != null && now - pingedAt >= limits.pongMicros()) {
+                channel.close();
+            } else if (ping == null && now - pingedAt >= limits.pingMicros()) {
+                pingedAt = now;
+                ping = new byte[MARK];
+                ByteBuffer.wrap(ping).putLong(random.nextLong());
+                send(Frames.PING, true, false, Unpooled.wrappedBuffer(ping.clone()));
+                channel.flush();
+            }
+        }
+    }
+}
--- a/src/test/java/larkbank/operators/OperatorsTest.java
+++ b/src/test/java/larkbank/operators/OperatorsTest.java
@@ -113,7 +113,9 @@
         for (String key : List.of("version", "address", "source", "servers", "id", "endpoint", "zone",
                 "model",
                 "cell", "weight", "host", "path", "methods", "headers", "priority", "class", "pool",
-                "client_gives_up")) {
+                "client_gives_up", "max_message", "max_frame", "idle_timeout", "ping_interval",
+                        "ping_timeout",
+                "max_life")) {
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
         String example = Files.readString(Path.of("deploy/operators.example.toml"));
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -24,6 +24,7 @@
 import larkbank.LoadBalancer.Settings;
 import larkbank.testkit.Http;
 import larkbank.testkit.Stub;
+import larkbank.websocket.UpgradeAccount.Counters;
 import org.junit.jupiter.api.Assertions;
 
 /** A sidecar on free loopback ports between scripted servers, a scripted discovery and raw clients. */
@@ -55,6 +56,7 @@
     final Path file;
     private final Path folder;
     Sidecar sidecar;
+    private OperatorsLayout layout;
     InetSocketAddress address;
 
     Harness(Path folder, Stub... servers) throws Exception {
@@ -106,13 +108,21 @@
         Path file = folder.resolve("operators.toml");
         Files.writeString(file, operators);
         Config config = config();
-        Sidecar.Layouts layouts = OperatorsLayout.of(file, config).layouts();
+        Sidecar.Layouts made = OperatorsLayout.of(file, config).layouts();
+        Sidecar.Layouts layouts = parts -> {
+            layout = (OperatorsLayout) made.of(parts);
+            return layout;
+        };
         sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), Choice::new,
                 layouts)).get();
         address = sidecar.start().get(10, TimeUnit.SECONDS);
         return this;
     }
 
+    Counters counters() {
+        return layout.counters();
+    }
+
     /** Changes the operators' file and waits until it is taken over or refused. */
     void reload(String operators) throws Exception {
         Files.writeString(folder.resolve("operators.toml"), operators);
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -23,6 +23,7 @@
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Terms;
 import larkbank.sidecar.Call.Attempt;
 import larkbank.testkit.Stub;
 import org.junit.jupiter.api.AfterEach;
@@ -84,7 +85,8 @@
     private Attempt send(int port) throws Exception {
         long now = clock.micros();
         Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, 0, false);
-        Call call = new Call(request, null, HttpMethod.GET, "/search", new DefaultHttpHeaders(),
+        Call call = new Call(request, new Way(null, 0, "/search", null, Long.MAX_VALUE, Terms.NONE, null),
+                HttpMethod.GET, new DefaultHttpHeaders(),
                 new byte[0], null);
         Attempt attempt = new Attempt(call, Ids.of("s-" + port), now, request.deadlineMicros());
         harness.loop.submit(() -> pool.start(attempt)).get();
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/WebSocketTest.java
@@ -0,0 +1,813 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.WebSocket;
+import java.net.http.WebSocketHandshakeException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import larkbank.testkit.Http;
+import larkbank.testkit.Stub;
+import larkbank.testkit.Ws;
+import larkbank.websocket.UpgradeAccount.Counters;
+import larkbank.websocket.UpgradeAccount.State;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** WebSockets through a sidecar between real sockets. */
+@Timeout(120)
+class WebSocketTest {
+
+    private static final String MORE = "Connection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n"
+            + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: " + Ws.KEY + "\r\n";
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Harness harness;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    private Stub server(Stub.Script script) throws IOException {
+        Stub stub = new Stub(script);
+        open.add(stub);
+        return stub;
+    }
+
+    private static String file(String limits, Stub... servers) {
+        StringBuilder text = new StringBuilder("version = 1\n[pools.p]\nsource = \"static\"\nservers = [\n");
+        for (Stub server : servers) {
+            text.append("  { id = \"s-").append(server.port()).append("\", endpoint = \"127.0.0.1:")
+                    .append(server.port()).append("\", zone = \"a\" },\n");
+        }
+        text.append("]\n");
+        for (String name : List.of("search", "book")) {
+            text.append("[routes.").append(name).append("]\npath = \"/").append(name)
+                    .append("/*\"\nclass = \"")
+                    .append(name).append("\"\npool = \"p\"\n[routes.").append(name).append(".websocket]\n")
+                    .append(limits);
+        }
+        return text.toString();
+    }
+
+    private void sidecar(String limits, Stub... servers) throws Exception {
+        harness = new Harness(folder);
+        open.add(harness);
+        harness.startWith(file(limits, servers));
+    }
+
+    private Counters counters() {
+        return harness.counters();
+    }
+
+    private static String ask(String path, String more) {
+        return Harness.Client.head("GET", path, 2_000, more, 0);
+    }
+
+    private Ws open(Harness.Client client) throws IOException {
+        client.raw(ask("/search/1", MORE));
+        Http.Message answer = client.answer();
+        assertEquals(101, answer.status());
+        assertEquals(Ws.accept(Ws.KEY), answer.headers().get("Sec-WebSocket-Accept"));
+        return new Ws(client.socket, true);
+    }
+
+    /** Waits until every upgrade has come to an end, and demands that all adds up. */
+    private void assertEnded(long asked) throws Exception {
+        Counters counters = counters();
+        while (harness.loop.submit(() -> {
+            long last = 0;
+            for (State state : State.values()) {
+                last += state.isLast() ? counters.in(state) : 0;
+            }
+            return last < counters.asked() || counters.asked() < asked;
+        }).get()) {
+            Thread.onSpinWait();
+        }
+        assertTrue(harness.loop.submit(counters::addUp).get(), counters.toString());
+        assertEquals(asked, counters.asked(), counters.toString());
+    }
+
+    // ---- Handshake
+
+    @Test
+    void theHandshakeGoesOnAndTheAnswerComesBack() throws Exception {
+        Stub server = server(seen -> Ws.agree(seen, "Sec-WebSocket-Protocol: b\r\nX-More: 1\r\n"));
+        sidecar("", server);
+        Harness.Client client = harness.client().raw(ask("/search/1?x=2", MORE
+                + "Sec-WebSocket-Protocol: a, b\r\nSec-WebSocket-Protocol: c\r\n"
+                + "Sec-WebSocket-Extensions: x-odd, permessage-deflate; client_max_window_bits\r\n"));
+        Http.Message answer = client.answer();
+        assertEquals(101, answer.status());
+        assertEquals("b", answer.headers().get("Sec-WebSocket-Protocol"));
+        assertEquals("1", answer.headers().get("X-More"));
+        assertEquals("Upgrade", answer.headers().get("Connection"));
+        assertNull(answer.headers().get("Content-Length"));
+        Http.Message seen = server.take().request();
+        assertEquals("GET /search/1?x=2 HTTP/1.1", seen.first());
+        assertEquals("websocket", seen.headers().get("Upgrade"));
+        assertEquals("Upgrade", seen.headers().get("Connection"));
+        assertEquals(Ws.KEY, seen.headers().get("Sec-WebSocket-Key"));
+        assertEquals("permessage-deflate; client_max_window_bits",
+                seen.headers().get("Sec-WebSocket-Extensions"));
+        assertNotNull(seen.headers().get("Request-Id"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "Sec-WebSocket-Version: 13 | Sec-WebSocket-Version: 8 | 426",
+        "Sec-WebSocket-Version: 13 | X: y | 426",
+        "dGhlIHNhbXBsZSBub25jZQ== | short | 400",
+        "Sec-WebSocket-Key | X-Key | 400",
+        "Upgrade: websocket | Upgrade: websocket, h2c | 400",
+        "Sec-WebSocket-Version: 13 | Sec-WebSocket-Version: 13\\r\\nContent-Length: 3 | 400",
+        "Sec-WebSocket-Version: 13 | Sec-WebSocket-Version: 13\\r\\nTransfer-Encoding: chunked | 400",
+        "Sec-WebSocket-Version: 13 | Sec-WebSocket-Version: 13\\r\\nSec-WebSocket-Protocol: a, a | 400",
+    })
+    void badHandshakesAreRejected(String from, String to, int status) throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("", server);
+        String more = MORE.replace(from.strip(), to.strip().replace("\\r", "\r").replace("\\n", "\n"));
+        String body = more.contains("chunked") ? "1\r\na\r\n0\r\n\r\n" : more.contains("Length: 3") ? "abc"
+                : "";
+        Http.Message answer = harness.client().raw(ask("/search/1", more) + body).answer();
+        assertEquals(status, answer.status());
+        assertEquals(status == 426 ? "13" : null, answer.headers().get("Sec-WebSocket-Version"));
+        assertTrue(server.seen.isEmpty());
+        assertEquals(0, counters().asked());
+    }
+
+    /** h2c, and an upgrade where a route has none, are plain requests; their connection goes on. */
+    @Test
+    void otherUpgradesArePlainRequests() throws Exception {
+        Stub server = server(Stub.serves("plain"));
+        sidecar("", server);
+        Harness.Client client = harness.client();
+        for (int i = 0; i < 3; i++) {
+            client.raw(ask("/search/1", "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+                    + "HTTP2-Settings: AAMAAABkAAQAAP__\r\n"));
+            assertEquals("plain", client.answer().body());
+            assertNull(server.take().request().headers().get("Upgrade"));
+            assertEquals(200, client.search(2_000).answer().status());
+            server.take();
+        }
+        // What is behind such a request is no part of it.
+        client.raw(ask("/search/1", "Connection: Upgrade\r\nUpgrade: h2c\r\n") + "GET /pay HTTP/1.1\r\n\r\n");
+        assertEquals(400, client.answer().status());
+        assertEquals(0, counters().asked());
+    }
+
+    /** Each of these may have run, so an unsafe class's upgrade is never tried again. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "HTTP/1.1 101 OK\\r\\nUpgrade: websocket\\r\\nConnection: Upgrade\\r\\n"
+                + "Sec-WebSocket-Accept: no\\r\\n\\r\\n | 502",
+        "HTTP/1.1 101 OK\\r\\nUpgrade: h2c\\r\\nConnection: Upgrade\\r\\n"
+                + "Sec-WebSocket-Accept: OK\\r\\n\\r\\n | 502",
+        "HTTP/1.1 101 OK\\r\\nConnection: Upgrade\\r\\nSec-WebSocket-Accept: OK\\r\\n\\r\\n | 502",
+        "HTTP/1.1 101 OK\\r\\nUpgrade: websocket\\r\\nConnection: Upgrade\\r\\nSec-WebSocket-Accept: OK\\r\\n"
+                + "Sec-WebSocket-Protocol: odd\\r\\n\\r\\n | 502",
+        "HTTP/1.1 101 OK\\r\\nUpgrade: websocket\\r\\nConnection: Upgrade\\r\\nSec-WebSocket-Accept: OK\\r\\n"
+                + "Sec-WebSocket-Extensions: permessage-deflate\\r\\n\\r\\n | 502",
+        "HTTP/1.1 404 No\\r\\nContent-Length: 2\\r\\nX-Why: no\\r\\n\\r\\nno | 404",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok | 200",
+        "HTTP/1.1 302 Go\\r\\nLocation: /b\\r\\nContent-Length: 0\\r\\n\\r\\n | 302",
+        "HTTP/1.1 503 No\\r\\nContent-Length: 0\\r\\n\\r\\n | 502",
+        "HTTP/1.1 429 No\\r\\nContent-Length: 0\\r\\n\\r\\n | 502",
+        "HTTP/1.1 10 | 502", "HTTP/1.1 101 OK\\r\\nUpg | 502", "'' | 502",
+    })
+    void aRefusedHandshakeIsOneAnswer(String text, int status) throws Exception {
+        Stub.Script script = seen -> {
+            seen.raw(text.strip().replace("\\r", "\r").replace("\\n", "\n").replace("OK\r\n\r\n",
+                    "OK\r\n\r\n").replace("Accept: OK", "Accept: " + Ws.accept(Ws.KEY)));
+            seen.socket().close();
+        };
+        Stub one = server(script);
+        Stub two = server(script);
+        sidecar("", one, two);
+        Harness.Client client = harness.client().raw(ask("/book/1", MORE));
+        Http.Message answer = client.answer();
+        assertEquals(status, answer.status());
+        if (status == 404) {
+            assertEquals("no", answer.body());
+            assertEquals("no", answer.headers().get("X-Why"));
+        }
+        client.assertClosed();
+        assertEquals(1, one.seen.size() + two.seen.size());
+        assertEnded(1);
+        assertEquals(1, counters().in(State.FAILED));
+    }
+
+    @Test
+    void anUpgradeThatWasTurnedAwayGoesToAnotherServer() throws Exception {
+        Stub one = server(Stub.answers("503 Full", "Not-Started: 1\r\n", ""));
+        Stub two = server(Stub.answers("503 Full", "Not-Started: 1\r\n", ""));
+        Stub.Script once = seen -> {
+            one.script(Ws.echo());
+            two.script(Ws.echo());
+            seen.reply("503 Full", "Not-Started: 1\r\n", "");
+        };
+        one.script(once);
+        two.script(once);
+        sidecar("", one, two);
+        Harness.Client client = harness.client().raw(ask("/book/1", MORE));
+        assertEquals(101, client.answer().status());
+        Ws ws = new Ws(client.socket, true).text("hello");
+        assertEquals("hello", ws.message().text());
+        assertEquals(2, one.seen.size() + two.seen.size());
+    }
+
+    @Test
+    void whereNoServerIsTheRefusalSaysWhenToComeBack() throws Exception {
+        Stub full = server(Stub.answers("503 Full", "Not-Started: 1\r\n", ""));
+        sidecar("", full);
+        Http.Message answer = harness.client().raw(ask("/search/1", MORE)).answer();
+        assertEquals(503, answer.status());
+        assertNotNull(answer.headers().get("Retry-After"));
+        assertEnded(1);
+        assertEquals(1, counters().in(State.REFUSED));
+    }
+
+    @Test
+    void aServerThatSays101ToAPlainRequestHasFailed() throws Exception {
+        Stub server = server(seen -> seen.raw(Ws.agreed(Ws.KEY, "")));
+        sidecar("", server);
+        assertEquals(502, harness.client().book("x", 1_000).answer().status());
+    }
+
+    @Test
+    void aClientThatLeavesBeforeThe101IsGone() throws Exception {
+        Stub server = server(Stub.SILENT);
+        sidecar("", server);
+        Harness.Client client = harness.client().raw(ask("/search/1", MORE));
+        Stub.Seen held = server.take();
+        client.close();
+        server.awaitEnd();
+        assertThrows(IOException.class, () -> {
+            while (true) {
+                held.raw(Ws.agreed(Ws.KEY, ""));
+            }
+        });
+        assertEnded(1);
+        assertEquals(1, counters().in(State.GONE));
+    }
+
+    // ---- Bytes about the handshake
+
+    /** First frames in one packet with the handshake, on both sides. */
+    @Test
+    void whatComesRightBehindTheHandshakeIsKept() throws Exception {
+        Stub server = server(seen -> {
+            ByteArrayOutputStream both = new ByteArrayOutputStream();
+            both.writeBytes(Ws.agreed(Ws.KEY, "").getBytes(StandardCharsets.US_ASCII));
+            for (int i = 0; i < 10; i++) {
+                both.writeBytes(Ws.frame(false, 0x81, ("s" + i).getBytes(StandardCharsets.US_ASCII)));
+            }
+            seen.socket().getOutputStream().write(both.toByteArray());
+            Ws ws = new Ws(seen.socket(), false);
+            for (Ws.Frame f; (f = ws.read()) != null;) {
+                ws.send(f.opcode(), f.last(), f.payload());
+            }
+        });
+        sidecar("", server);
+        Harness.Client client = harness.client();
+        ByteArrayOutputStream both = new ByteArrayOutputStream();
+        both.writeBytes(ask("/search/1", MORE).getBytes(StandardCharsets.US_ASCII));
+        for (int i = 0; i < 10; i++) {
+            both.writeBytes(Ws.frame(true, 0x81, ("c" + i).getBytes(StandardCharsets.US_ASCII)));
+        }
+        client.socket.getOutputStream().write(both.toByteArray());
+        assertEquals(101, client.answer().status());
+        Ws ws = new Ws(client.socket, true);
+        List<String> got = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            got.add(ws.message().text());
+        }
+        for (int i = 0; i < 10; i++) {
+            assertEquals("s" + i, got.get(i));
+            assertEquals("c" + i, got.get(10 + i));
+        }
+    }
+
+    @Test
+    void framesBeforeThe101AreKeptUpToABound() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            awaitQuietly(go);
+            Ws.Frame first = Ws.agree(seen, "").message();
+            heard.add(first == null ? "nothing" : first.text());
+        });
+        sidecar("", server);
+        Harness.Client client = harness.client().raw(ask("/search/1", MORE));
+        server.take();
+        Ws ws = new Ws(client.socket, true);
+        ws.text("early");
+        Harness.Client greedy = harness.client().raw(ask("/search/1", MORE));
+        server.take();
+        greedy.socket.getOutputStream().write(Ws.frame(true, 0x82, new byte[100_000]));
+        assertEquals(400, greedy.answer().status());
+        go.countDown();
+        while (!heard.take().equals("early")) {
+            // The greedy one's server may have heard nothing.
+            Thread.onSpinWait();
+        }
+        assertEquals(101, client.answer().status());
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    // ---- Tunnel
+
+    @Test
+    void controlFramesPassBetweenFragments() throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("", server);
+        Ws ws = open(harness.client());
+        ws.send(1, false, "a".getBytes(StandardCharsets.US_ASCII)).send(9, true, new byte[] {7})
+                .send(0, true, "b".getBytes(StandardCharsets.US_ASCII));
+        List<Integer> opcodes = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            opcodes.add(ws.read().opcode());
+        }
+        assertEquals(List.of(1, 10, 0), opcodes);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"c10141, 1002", "830141, 1002", "0900, 1002", "818100000000ff, 1007", "888100000000ff, 1002"})
+    void aClientsWrongFramesEndBothSides(String hex, int code) throws Exception {
+        BlockingQueue<Integer> serverHeard = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> serverHeard.add(Ws.agree(seen, "").message().code()));
+        sidecar("", server);
+        Ws ws = open(harness.client());
+        byte[] wrong = io.netty.buffer.ByteBufUtil.decodeHexDump(hex);
+        if ((wrong[1] & 0x80) == 0) {
+            wrong[1] |= (byte) 0x80;
+            wrong = Arrays.copyOf(wrong, wrong.length + 4);
+        }
+        ws.raw(wrong);
+        assertEquals(code, ws.message().code());
+        assertEquals(1001, serverHeard.take());
+        assertEnded(1);
+        assertEquals(1, counters().in(State.CLOSED_BY_CLIENT));
+    }
+
+    @Test
+    void aServersWrongFramesEndBothSides() throws Exception {
+        BlockingQueue<Integer> serverHeard = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            Ws ws = Ws.agree(seen, "");
+            ws.raw(new byte[] {(byte) 0x83, 0});
+            serverHeard.add(ws.message().code());
+        });
+        sidecar("", server);
+        Ws ws = open(harness.client());
+        assertEquals(1011, ws.message().code());
+        assertEquals(1002, serverHeard.take());
+    }
+
+    @Test
+    void tooLargeIsSaidBeforeItHasCome() throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("max_message = 1000\nmax_frame = 600\n", server);
+        Ws ws = open(harness.client());
+        ws.raw(new byte[] {(byte) 0x82, (byte) 0xfe, 2, (byte) 0x59, 0, 0, 0, 0});
+        assertEquals(1009, ws.message().code());
+    }
+
+    /** A server that goes in the middle of a frame: its client gets whole frames and a close. */
+    @Test
+    void aBrokenServerTearsNoFrame() throws Exception {
+        Stub server = server(seen -> {
+            Ws ws = Ws.agree(seen, "");
+            byte[] frame = Ws.frame(false, 0x82, new byte[50_000]);
+            ws.raw(Arrays.copyOf(frame, 20_000));
+            seen.socket().close();
+        });
+        sidecar("", server);
+        Ws ws = open(harness.client());
+        int bytes = 0;
+        Ws.Frame last = null;
+        for (Ws.Frame f; (f = ws.read()) != null && f.opcode() != 8;) {
+            bytes += f.payload().length;
+            assertTrue(!f.last(), "a message that did not end was ended");
+            last = f;
+        }
+        assertNotNull(last);
+        assertEquals(20_000 - 4, bytes);
+        assertEnded(1);
+        assertEquals(1, counters().in(State.BROKEN));
+    }
+
+    @Test
+    void aBrokenServerGivesItsClient1011AndABrokenClientItsServer1001() throws Exception {
+        BlockingQueue<Integer> serverHeard = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            Ws.agree(seen, "");
+            seen.socket().close();
+        });
+        sidecar("", server);
+        assertEquals(1011, open(harness.client()).message().code());
+        server.script(seen -> serverHeard.add(Ws.agree(seen, "").message().code()));
+        Harness.Client client = harness.client();
+        open(client);
+        client.close();
+        assertEquals(1001, serverHeard.take());
+        assertEnded(2);
+        assertEquals(2, counters().in(State.BROKEN));
+    }
+
+    @Test
+    void closesGoThroughWithTheirCodes() throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("", server);
+        for (int code : new int[] {1000, 1001, 1003, 1008, 3000, 4999}) {
+            Ws ws = open(harness.client()).close(code);
+            assertEquals(code, ws.message().code());
+            assertNull(ws.read());
+        }
+        server.script(seen -> {
+            Ws ws = Ws.agree(seen, "").close(4321);
+            ws.message();
+        });
+        Ws ws = open(harness.client());
+        assertEquals(4321, ws.message().code());
+        ws.close(4321);
+        assertNull(ws.read());
+        assertEnded(7);
+        assertEquals(6, counters().in(State.CLOSED_BY_CLIENT));
+        assertEquals(1, counters().in(State.CLOSED_BY_SERVER));
+    }
+
+    /** A reader that does not read stops its sender; what waits in the sidecar is bounded. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aSlowReaderStopsItsSender(boolean serverReads) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        int pieces = 4_000;
+        byte[] piece = new byte[10_000];
+        BlockingQueue<Integer> counted = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            Ws ws = Ws.agree(seen, "");
+            if (serverReads) {
+                awaitQuietly(go);
+                counted.add(count(ws, pieces));
+            }
+            for (int i = 0; !serverReads && i < pieces; i++) {
+                ws.send(2, true, piece);
+            }
+        });
+        sidecar("", server);
+        Harness.Client client = harness.client();
+        Ws ws = open(client);
+        Thread sending = new Thread(() -> {
+            try {
+                for (int i = 0; serverReads && i < pieces; i++) {
+                    ws.send(2, true, piece);
+                }
+            } catch (IOException e) {
+                counted.add(-1);
+            }
+        });
+        sending.start();
+        // 40 MB are on their way, of which the sockets and the sidecar hold a few at most, so the sender
+        // waits.
+        sending.join(1_000);
+        assertEquals(serverReads, sending.isAlive());
+        long waiting = harness.loop.submit(() -> harness.sidecar.waitingBytes()).get();
+        assertTrue(waiting < 512 * 1024, "waiting " + waiting);
+        assertEquals(200, plain(), "others are served meanwhile");
+        go.countDown();
+        assertEquals(pieces, serverReads ? counted.take() : count(ws, pieces));
+    }
+
+    private int plain() throws Exception {
+        Http.Message answer = harness.client().raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").answer();
+        return answer.status();
+    }
+
+    private static int count(Ws ws, int most) throws IOException {
+        int count = 0;
+        while (count < most && ws.message() != null) {
+            count++;
+        }
+        return count;
+    }
+
+    @Test
+    void aSilentSideIsFoundByItsPings() throws Exception {
+        Stub server = server(seen -> Ws.agree(seen, ""));
+        sidecar("ping_interval = \"200ms\"\nping_timeout = \"100ms\"\n", server);
+        Ws ws = open(harness.client());
+        // The client answers its pings; the server's script has ended with its socket, or says nothing.
+        for (Ws.Frame f; (f = ws.read()).opcode() != 8;) {
+            assertEquals(9, f.opcode());
+            ws.send(10, true, f.payload());
+        }
+        assertEnded(1);
+        assertEquals(1, counters().in(State.BROKEN));
+    }
+
+    @Test
+    void pongsToTheSidecarsPingsStayHere() throws Exception {
+        BlockingQueue<Ws.Frame> came = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            Ws ws = Ws.agree(seen, "");
+            for (Ws.Frame f; (f = ws.read()) != null;) {
+                if (f.opcode() == 9) {
+                    ws.send(10, true, f.payload());
+                } else {
+                    came.add(f);
+                }
+            }
+        });
+        sidecar("ping_interval = \"100ms\"\nping_timeout = \"100ms\"\n", server);
+        Ws ws = open(harness.client());
+        for (int pings = 0; pings < 4;) {
+            Ws.Frame f = ws.read();
+            if (f.opcode() == 9) {
+                pings++;
+                ws.send(10, true, f.payload());
+            }
+        }
+        ws.send(10, true, new byte[] {1});
+        Ws.Frame first = came.take();
+        assertEquals(10, first.opcode());
+        assertArrayEquals(new byte[] {1}, first.payload());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"idle_timeout, idle", "max_life, longest life"})
+    void timesEndATunnelInOrder(String key, String reason) throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar(key + " = \"1s\"\n", server);
+        Ws ws = open(harness.client());
+        Ws.Frame close = ws.message();
+        assertEquals(1001, close.code());
+        assertEquals(reason, close.text().substring(2));
+        ws.close(1001);
+        assertNull(ws.read());
+        assertEnded(1);
+        assertEquals(1, counters().in(State.CLOSED_BY_SIDECAR));
+    }
+
+    // ---- Drain, reload, end
+
+    @Test
+    void aServerThatLeavesHasItsTunnelsClosedWithinTheGrace() throws Exception {
+        Stub one = server(Ws.echo());
+        Stub two = server(Ws.echo());
+        sidecar("", one);
+        List<Ws> all = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            all.add(open(harness.client()));
+        }
+        harness.reload(file("", two));
+        for (Ws ws : all) {
+            assertEquals(1001, ws.message().code());
+            ws.close(1001);
+        }
+        assertEquals("x", open(harness.client()).text("x").message().text());
+        assertEquals(1, two.seen.size());
+    }
+
+    /**
+     * A drain told while the handshake is out: its 101 still counts, and the tunnel ends within the grace.
+     */
+    @Test
+    void aServerThatDrainsDuringTheHandshake() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        BlockingQueue<Integer> heard = new LinkedBlockingQueue<>();
+        Stub one = server(seen -> {
+            awaitQuietly(go);
+            heard.add(Ws.agree(seen, "").message().code());
+        });
+        Stub two = server(Ws.echo());
+        sidecar("", one);
+        Harness.Client client = harness.client().raw(ask("/search/1", MORE));
+        one.take();
+        harness.reload(file("", two));
+        go.countDown();
+        assertEquals(101, client.answer().status());
+        assertEquals(1001, heard.take());
+        assertEquals(1001, new Ws(client.socket, true).message().code());
+    }
+
+    @Test
+    void theEndClosesAllTunnelsInOrder() throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("", server);
+        List<Ws> all = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            all.add(open(harness.client()));
+        }
+        Harness.Client late = harness.client();
+        CountDownLatch ended = harness.stop();
+        Http.Message refused = late.raw(ask("/search/1", MORE)).answer();
+        assertEquals(503, refused.status());
+        assertEquals("1", refused.headers().get("Retry-After"));
+        for (Ws ws : all) {
+            assertEquals(1001, ws.message().code());
+            ws.close(1001);
+            assertNull(ws.read());
+        }
+        assertTrue(ended.await(10, TimeUnit.SECONDS), "something hangs");
+        assertEnded(50);
+        assertEquals(50, counters().in(State.CLOSED_BY_SIDECAR));
+    }
+
+    // ---- Faults at every byte
+
+    /** Either side hangs up after each byte of its part of the handshake; all adds up, and no one hangs. */
+    @Test
+    void faultsAtEveryByteOfBothHandshakesAreEachCountedOnce() throws Exception {
+        Stub server = server(Ws.echo());
+        Stub other = server(Ws.echo());
+        sidecar("", server, other);
+        String request = ask("/book/1", MORE);
+        byte[] answer = Ws.agreed(Ws.KEY, "").getBytes(StandardCharsets.US_ASCII);
+        byte[] frame = Ws.frame(false, 0x81, "abc".getBytes(StandardCharsets.US_ASCII));
+        byte[] whole = Arrays.copyOf(answer, answer.length + frame.length);
+        System.arraycopy(frame, 0, whole, answer.length, frame.length);
+        int asked = 0;
+        int agreed = 0;
+        for (int round = 0; round < 4; round++) {
+            for (int at = 0; at <= whole.length; at++) {
+                byte[] part = Arrays.copyOf(whole, at);
+                Stub.Script script = seen -> {
+                    seen.socket().getOutputStream().write(part);
+                    seen.socket().close();
+                };
+                server.script(script);
+                other.script(script);
+                Harness.Client client = harness.client().raw(ask("/book/1", MORE));
+                int status = client.answer().status();
+                asked++;
+                if (at < answer.length) {
+                    assertEquals(502, status, "cut at " + at);
+                } else {
+                    assertEquals(101, status, "cut at " + at);
+                    agreed++;
+                    Ws ws = new Ws(client.socket, true);
+                    Ws.Frame f = ws.read();
+                    for (; f.opcode() != 8; f = ws.read()) {
+                        assertEquals("abc".substring(0, Math.min(3, f.payload().length)), f.text().isEmpty()
+                                ? ""
+                                : "abc".substring(0, f.payload().length));
+                    }
+                    assertEquals(1011, f.code());
+                }
+                client.close();
+            }
+        }
+        server.script(Stub.SILENT);
+        other.script(Stub.SILENT);
+        for (int at = 0; at < request.length(); at++) {
+            harness.client().raw(request.substring(0, at)).close();
+        }
+        assertEnded(asked);
+        assertEquals(agreed, counters().in(State.BROKEN), counters().toString());
+        assertEquals(asked - agreed, counters().in(State.FAILED), counters().toString());
+        assertEquals(asked, server.seen.size() + other.seen.size(), "an unsafe one was tried again");
+        assertTrue(harness.stop().await(10, TimeUnit.SECONDS), "half a handshake is left");
+    }
+
+    // ---- An independent client
+
+    private static final class Listening implements WebSocket.Listener {
+        private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        private final StringBuilder text = new StringBuilder();
+        private final ByteArrayOutputStream binary = new ByteArrayOutputStream();
+        private final CompletableFuture<byte[]> message = new CompletableFuture<>();
+
+        @Override
+        public CompletionStage<?> onText(WebSocket socket, CharSequence data, boolean last) {
+            text.append(data);
+            if (last) {
+                events.add("text " + text);
+                text.setLength(0);
+            }
+            socket.request(1);
+            return null;
+        }
+
+        @Override
+        public CompletionStage<?> onBinary(WebSocket socket, ByteBuffer data, boolean last) {
+            byte[] piece = new byte[data.remaining()];
+            data.get(piece);
+            binary.writeBytes(piece);
+            if (last) {
+                message.complete(binary.toByteArray());
+            }
+            socket.request(1);
+            return null;
+        }
+
+        @Override
+        public CompletionStage<?> onPong(WebSocket socket, ByteBuffer data) {
+            events.add("pong " + data.remaining());
+            socket.request(1);
+            return null;
+        }
+
+        @Override
+        public CompletionStage<?> onClose(WebSocket socket, int code, String reason) {
+            events.add("close " + code + " " + reason);
+            return null;
+        }
+    }
+
+    private WebSocket.Builder builder() {
+        return HttpClient.newHttpClient().newWebSocketBuilder().header("Request-Id", Harness.Client.id())
+                .header("Tenant", "acme").header("Request-Timeout-Ms", "3000");
+    }
+
+    private URI uri() {
+        return URI.create("ws://127.0.0.1:" + harness.address.getPort() + "/search/1");
+    }
+
+    @Test
+    void theRuntimesOwnClientIsContent() throws Exception {
+        Stub server = server(Ws.echo());
+        sidecar("", server);
+        Listening heard = new Listening();
+        WebSocket socket = builder().buildAsync(uri(), heard).get(10, TimeUnit.SECONDS);
+        socket.sendText("h\u00e9llo", true).get();
+        assertEquals("text h\u00e9llo", heard.events.take());
+        socket.sendText("in ", false).get();
+        socket.sendText("pieces", true).get();
+        assertEquals("text in pieces", heard.events.take());
+        socket.sendPing(ByteBuffer.wrap(new byte[5])).get();
+        assertEquals("pong 5", heard.events.take());
+        byte[] large = new byte[16 << 20];
+        new SplittableRandom(16).nextBytes(large);
+        socket.sendBinary(ByteBuffer.wrap(large), true).get();
+        assertArrayEquals(large, heard.message.get(60, TimeUnit.SECONDS));
+        socket.sendClose(4000, "bye").get();
+        assertEquals("close 4000 bye", heard.events.take());
+        assertEnded(1);
+    }
+
+    @Test
+    void itsSubprotocolsAreAgreedOn() throws Exception {
+        Stub server = server(seen -> {
+            assertEquals("v2, v1", seen.request().headers().get("Sec-WebSocket-Protocol"));
+            Ws.agree(seen, "Sec-WebSocket-Protocol: v1\r\n").close(1000);
+        });
+        sidecar("", server);
+        Listening heard = new Listening();
+        WebSocket socket = builder().subprotocols("v2", "v1").buildAsync(uri(), heard).get(10,
+                TimeUnit.SECONDS);
+        assertEquals("v1", socket.getSubprotocol());
+        assertEquals("close 1000 ", heard.events.take());
+    }
+
+    @Test
+    void aServersNoIsAPlainAnswerToIt() throws Exception {
+        Stub server = server(Stub.answers("403 No", "", "not you"));
+        sidecar("", server);
+        CompletionException failed = assertThrows(CompletionException.class,
+                () -> builder().buildAsync(uri(), new Listening()).join());
+        WebSocketHandshakeException refused = (WebSocketHandshakeException) failed.getCause();
+        assertEquals(403, refused.getResponse().statusCode());
+        assertNotEquals(0, counters().asked());
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/websocket/UpgradeAccountTest.java
@@ -0,0 +1,71 @@
+package larkbank.websocket;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import larkbank.websocket.UpgradeAccount.Counters;
+import larkbank.websocket.UpgradeAccount.Event;
+import larkbank.websocket.UpgradeAccount.State;
+import org.junit.jupiter.api.Test;
+
+/** Each state has one way out for each event, and everything adds up whatever happens in whatever order. */
+class UpgradeAccountTest {
+
+    @Test
+    void lastStatesStayAndOnlyATriedOneOpens() {
+        for (State state : State.values()) {
+            for (Event event : Event.values()) {
+                State next = UpgradeAccount.next(state, event);
+                assertTrue(!state.isLast() || next == state, state + " on " + event);
+                if (next == State.OPEN && state != State.OPEN) {
+                    assertEquals(State.TRIED, state);
+                    assertEquals(Event.OPEN, event);
+                }
+                boolean opened = state.ordinal() >= State.OPEN.ordinal();
+                assertTrue(!opened || next.ordinal() >= State.OPEN.ordinal(), state + " on " + event);
+            }
+        }
+    }
+
+    /** From each state some last one is reached by what always comes: the client or both sides go. */
+    @Test
+    void eachStateEnds() {
+        for (State state : State.values()) {
+            State end = UpgradeAccount.next(UpgradeAccount.next(state, Event.LEAVE), Event.END);
+            assertTrue(end.isLast(), state + " stays at " + end);
+        }
+    }
+
+    @Test
+    void randomWalksAddUp() {
+        long seed = 12;
+        SplittableRandom random = new SplittableRandom(seed);
+        Counters counters = new Counters();
+        Set<State> seen = EnumSet.noneOf(State.class);
+        for (int i = 0; i < 20_000; i++) {
+            UpgradeAccount account = new UpgradeAccount(counters);
+            for (int n = random.nextInt(12); n > 0; n--) {
+                Event event = Event.values()[random.nextInt(Event.values().length)];
+                boolean last = account.state().isLast();
+                State before = account.state();
+                seen.add(account.on(event));
+                assertTrue(!last || account.state() == before, "seed " + seed);
+            }
+            account.on(Event.LEAVE);
+            account.on(Event.END);
+            assertTrue(account.state().isLast());
+            assertTrue(counters.addUp(), "seed " + seed + ": " + counters);
+        }
+        assertEquals(20_000, counters.asked());
+        long ended = 0;
+        for (State state : State.values()) {
+            ended += state.isLast() ? counters.in(state) : 0;
+            assertTrue(state.isLast() || counters.in(state) == 0, state.toString());
+        }
+        assertEquals(20_000, ended);
+        assertEquals(EnumSet.allOf(State.class), seen);
+    }
+}
