--- a/src/main/java/larkbank/Hashes.java
+++ b/src/main/java/larkbank/Hashes.java
@@ -21,8 +21,9 @@
     }
 
     /**
-     * Rendezvous hashing (Thaler and Ravishankar, 1998): these numbers, each from 0 to below 2^20, in the order
-     * of their hashes with an id, so that one number more or less leaves the order of the others as it is.
+     * Rendezvous hashing (Thaler and Ravishankar, 1998): these numbers, each from 0 to below 2^20, in the
+     * order of their hashes with an id, so that one number more or less leaves the order of the others as it
+     * is.
      */
     static int[] ranked(long id, int[] numbers) {
         int low = (1 << 20) - 1;
--- a/src/test/java/larkbank/LargeFleetTest.java
+++ b/src/test/java/larkbank/LargeFleetTest.java
@@ -249,7 +249,9 @@
         }
     }
 
-    /** Another count of cells takes turns: all are served meanwhile, and in the end a key is where it belongs. */
+    /**
+     * Another count of cells takes turns: all are served meanwhile, and in the end a key is where it belongs.
+     */
     @Test
     void anotherCountOfCellsIsTakenOverInTurns() {
         Recorder grown = fleet(1_000, true);
