--- a/src/bench/java/larkbank/sidecar/DrainBench.java
+++ b/src/bench/java/larkbank/sidecar/DrainBench.java
@@ -1,110 +1,176 @@
 package larkbank.sidecar;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import larkbank.Choice;
+import larkbank.LoadBalancer;
+import larkbank.LoadBalancer.Actions;
+import larkbank.LoadBalancer.Settings;
 import larkbank.testkit.Http;
 import larkbank.testkit.Ws;
 
 /**
- * How evenly tunnels lie on 3 and on 15 servers, after a new one has joined, and what a drain of one server
- * does:
- * time to the last close, most reconnects in 100 ms, and plain requests meanwhile; with the rate of closing
- * bounded
- * by what the others take, and in effect without. Argument: how many tunnels.
+ * Evenness of tunnels on 3, 15 and 100 servers, after one has joined and after one was drained, with what
+ * tunnels weigh and without; then a drain of 5,000 tunnels of one server whose clients come back at once:
+ * with the wave spread, without, and with tunnels that move. Servers are a process of their own. Argument:
+ * drains, for these only.
  */
 public final class DrainBench {
 
     private static final String MORE = "Connection: Upgrade\r\nUpgrade: websocket\r\n"
-            + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: " + Ws.KEY + "\r\n";
+            + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Protocol: chat\r\nSec-WebSocket-Key: " + Ws.KEY
+            + "\r\n";
+    private static final String FREE = "reconnect_rate = 100000\n";
+    private static final int MANY = 100_000;
+    private static final int EACH = 30;
+    private static final String RESUMABLE = "resumable = [\"chat\"]\nresume_header = \"Resume: yes\"\n";
 
     private DrainBench() { }
 
     public static void main(String[] args) throws Exception {
-        int tunnels = args.length > 0 && args[0].matches("\\d+") ? Integer.parseInt(args[0]) : 1_500;
-        for (int servers : new int[] {3, 15}) {
-            for (int rate : new int[] {50, 100_000}) {
-                run(servers, rate, tunnels);
-            }
+        boolean drainsOnly = args.length > 0 && args[0].equals("drains");
+        for (int count : drainsOnly ? new int[0] : new int[] {3, 15, 100}) {
+            even(count, true);
+            even(count, false);
         }
+        int tunnels = 5_000;
+        drain("spread, 250 a second to each server", tunnels, 250, "reconnect_rate = 250\n");
+        drain("not spread", tunnels, MANY, FREE);
+        drain("moved, 250 a second to each server", tunnels, MANY, RESUMABLE + "reconnect_rate = 250\n");
+        drain("moved, 2,000 a second to each server", tunnels, MANY, RESUMABLE + "reconnect_rate = 2000\n");
         System.exit(0);
     }
 
-    private static void run(int count, int rate, int tunnels) throws Exception {
-        List<Server> servers = new ArrayList<>();
-        for (int i = 0; i < count + 1; i++) {
-            servers.add(new Server());
-        }
-        try (Harness harness = new Harness(Files.createTempDirectory("drain"), 250_000, 18_000)) {
-            harness.startWith(file(rate, servers.subList(0, count)));
-            ConcurrentLinkedQueue<Long> reconnects = new ConcurrentLinkedQueue<>();
-            AtomicBoolean on = new AtomicBoolean(true);
-            ExecutorService clients = Executors.newCachedThreadPool();
-            List<Ws> open = new ArrayList<>();
+    /** Knows nothing of what servers carry beside requests. */
+    private static LoadBalancer unweighted(Settings settings, Actions actions) {
+        LoadBalancer real = new Choice(settings, actions);
+        return (LoadBalancer) Proxy.newProxyInstance(DrainBench.class.getClassLoader(),
+                new Class<?>[] {LoadBalancer.class}, (proxy, method, given) -> {
+                    if (method.getName().equals("burden")) {
+                        return null;
+                    }
+                    if (method.getName().equals("request")) {
+                        LoadBalancer.Request r = (LoadBalancer.Request) given[1];
+                        given[1] = new LoadBalancer.Request(r.id(), r.requestClass(), r.tenant(), r.repeat(),
+                                r.key(), r.deadlineMicros(), r.hintMicros(), r.write());
+                    }
+                    return method.invoke(real, given);
+                });
+    }
+
+    private static void even(int count, boolean weighted) throws Exception {
+        int tunnels = EACH * count;
+        BiFunction<Settings, Actions, LoadBalancer> module = weighted ? Choice::new : DrainBench::unweighted;
+        try (DrainServers servers = new DrainServers(count + 1);
+                Harness harness = new Harness(Files.createTempDirectory("drain"), 250_000, 40_000)) {
+            int[] ports = servers.ports();
+            harness.startWith(file(MANY, RESUMABLE + FREE, Arrays.copyOf(ports, count)), module);
+            List<Ws> all = new ArrayList<>();
             for (int i = 0; i < tunnels; i++) {
-                open.add(open(harness));
+                all.add(open(harness));
+            }
+            System.out.printf("%3d servers, tunnels %s: largest against mean %.2f", count,
+                    weighted ? "weigh" : "weigh nothing", uneven(servers.open(), 0, count));
+            harness.reload(file(MANY, RESUMABLE + FREE, ports));
+            int joined = 0;
+            while (joined < 4 * tunnels && servers.open()[count] < EACH) {
+                all.add(open(harness));
+                Thread.sleep(5);
+                joined++;
             }
-            System.out.printf("%d servers, %d a second: largest against mean %.2f", count, rate,
-                    uneven(servers.subList(0, count)));
-            harness.reload(file(rate, servers));
-            for (int i = 0; i < tunnels / count; i++) {
-                open.add(open(harness));
+            System.out.printf("; a new one has %d after %d more, 200 a second; then %.2f", EACH, joined,
+                    uneven(servers.open(), 0, count + 1));
+            harness.reload(file(MANY, RESUMABLE + FREE, Arrays.copyOfRange(ports, 1, count + 1)));
+            while (servers.open()[0] > 0) {
+                Thread.sleep(5);
             }
-            System.out.printf("; the new one has %.2f of the mean after as many more as were on one",
-                    servers.get(count).open.get() * (count + 1.0) / (tunnels + tunnels / count));
-            for (Ws ws : open) {
-                clients.execute(() -> stay(harness, ws, reconnects, on));
+            System.out.printf("; after a drain by moves %.2f%n", uneven(servers.open(), 1, count + 1));
+            for (Ws ws : all) {
+                ws.end();
             }
+        }
+    }
+
+    private static double uneven(int[] open, int from, int to) {
+        int[] part = Arrays.copyOfRange(open, from, to);
+        return Arrays.stream(part).max().orElseThrow() / Arrays.stream(part).average().orElseThrow();
+    }
+
+    private static void drain(String how, int tunnels, int rate, String keys) throws Exception {
+        try (DrainServers servers = new DrainServers(3);
+                Harness harness = new Harness(Files.createTempDirectory("drain"), 250_000, 40_000)) {
+            int[] ports = servers.ports();
+            harness.startWith(file(MANY, keys, Arrays.copyOf(ports, 1)));
+            ConcurrentLinkedQueue<Long> back = new ConcurrentLinkedQueue<>();
+            ConcurrentLinkedQueue<Long> refused = new ConcurrentLinkedQueue<>();
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < tunnels; i++) {
+                Ws ws = open(harness);
+                Thread client = new Thread(null, () -> stay(harness, ws, back, refused), "client", 128 * 1024);
+                client.setDaemon(true);
+                client.start();
+                clients.add(client);
+            }
+            harness.reload(file(rate, keys, ports));
+            System.out.printf("%d tunnels of one server, two others, %s", tunnels, how);
             plain(harness, "before", 2_000);
-            int leaving = servers.get(0).open.get();
             long since = System.nanoTime();
-            harness.reload(file(rate, servers.subList(1, count + 1)));
-            AtomicBoolean drained = new AtomicBoolean();
-            Thread waiting = new Thread(() -> {
-                while (servers.get(0).open.get() > 0) {
-                    Thread.onSpinWait();
+            harness.reload(file(rate, keys, Arrays.copyOfRange(ports, 1, 3)));
+            Thread[] waiting = {new Thread(() -> {
+                try {
+                    while (servers.open()[0] > 0 || servers.open()[1] + servers.open()[2] < tunnels) {
+                        Thread.sleep(5);
+                    }
+                } catch (IOException | InterruptedException e) {
+                    System.out.println(e);
                 }
-                drained.set(true);
-            });
-            waiting.start();
+            })};
+            waiting[0].start();
             plain(harness, "during", 2_000);
-            waiting.join();
-            double seconds = (System.nanoTime() - since) / 1e9;
-            System.out.printf("; drain of %d took %.1f s, at most %d reconnects in 100 ms%n", leaving,
-                    seconds,
-                    most(reconnects));
-            on.set(false);
-            clients.shutdownNow();
+            waiting[0].join();
+            System.out.printf("; all at other servers after %.1f s, most in 100 ms: %d back, %d refused; moved %d;"
+                    + " one has %.2f of the mean%n", (System.nanoTime() - since) / 1e9, most(back), most(refused),
+                    harness.moved(), uneven(servers.open(), 1, 3));
         }
     }
 
-    /** A client that comes back as soon as it is told to go. */
-    private static void stay(Harness harness, Ws first, ConcurrentLinkedQueue<Long> reconnects,
-            AtomicBoolean on) {
+    /** A client that comes back as soon as it is told to go, and waits where it is told to. */
+    private static void stay(Harness harness, Ws first, ConcurrentLinkedQueue<Long> back,
+            ConcurrentLinkedQueue<Long> refused) {
         try {
-            Ws ws = first;
-            while (on.get()) {
+            for (Ws ws = first;;) {
                 Ws.Frame f = ws.message();
-                if (f == null || !on.get()) {
+                if (f == null) {
+                    ws.end();
                     return;
                 }
                 ws.close(1001);
-                reconnects.add(System.nanoTime());
-                ws = open(harness);
+                ws.end();
+                ws = null;
+                while (ws == null) {
+                    Harness.Client client = new Harness.Client(harness.address);
+                    client.raw(Harness.Client.head("GET", "/search/1", 2_000, MORE, 0));
+                    Http.Message answer = client.answer();
+                    if (answer.status() == 101) {
+                        back.add(System.nanoTime());
+                        client.socket.setSoTimeout(0);
+                        ws = new Ws(client.socket, true);
+                    } else {
+                        refused.add(System.nanoTime());
+                        client.close();
+                        Thread.sleep((long) (1_000 * Double.parseDouble(
+                                answer.headers().getOrDefault("Retry-After", "0.1"))));
+                    }
+                }
             }
-        } catch (IOException | RuntimeException e) {
-            // The measurement is over, or the wave was refused.
+        } catch (IOException | RuntimeException | InterruptedException e) {
+            // The measurement is over.
         }
     }
 
@@ -120,12 +186,7 @@
         return most;
     }
 
-    private static double uneven(List<Server> servers) {
-        double mean = servers.stream().mapToInt(s -> s.open.get()).average().orElseThrow();
-        return servers.stream().mapToInt(s -> s.open.get()).max().orElseThrow() / mean;
-    }
-
-    private static void plain(Harness harness, String when, int count) throws IOException {
+    private static void plain(Harness harness, String when, int count) throws Exception {
         Harness.Client client = new Harness.Client(harness.address);
         long[] took = new long[count];
         int late = 0;
@@ -134,24 +195,24 @@
             int status = client.raw(Harness.Client.head("GET", "/search/1", 2_000, "", 0)).answer().status();
             took[i] = System.nanoTime() - since;
             late += status != 200 || took[i] > 400_000_000L ? 1 : 0;
+            Thread.sleep(1);
         }
         client.close();
         Arrays.sort(took);
         System.out.printf("; plain requests %s: 99%% %.1f ms, %d of %d not in time", when,
-                took[count / 100 * 99] / 1e6,
-                late, count);
+                took[count / 100 * 99] / 1e6, late, count);
     }
 
-    private static String file(int rate, List<Server> servers) {
-        StringBuilder text = new StringBuilder("version = 1\n[pools.p]\nsource = \"static\"\nservers = [\n");
-        for (Server server : servers) {
-            text.append("{ id = \"s").append(server.port()).append("\", endpoint = \"127.0.0.1:")
-                    .append(server.port()).append("\", zone = \"a\" },\n");
+    private static String file(int rate, String keys, int... ports) {
+        StringBuilder text = new StringBuilder("version = 1\n[pools.p]\nsource = \"static\"\nupgrade_rate = "
+                + rate + "\nservers = [\n");
+        for (int port : ports) {
+            text.append("{ id = \"s").append(port).append("\", endpoint = \"127.0.0.1:").append(port)
+                    .append("\", zone = \"a\" },\n");
         }
         return text.append("]\n[routes.search]\npath = \"/search/*\"\nclass = \"search\"\npool = \"p\"\n"
-                + "[routes.search.websocket]\ndrain_time = \"60s\"\nping_interval = \"600s\"\n"
-                + "reconnect_rate = ")
-                .append(rate).append('\n').toString();
+                + "[routes.search.websocket]\ndrain_time = \"60s\"\nping_interval = \"600s\"\n")
+                .append(keys).toString();
     }
 
     private static Ws open(Harness harness) throws IOException {
@@ -164,63 +225,4 @@
         client.socket.setSoTimeout(0);
         return new Ws(client.socket, true);
     }
-
-    /** Agrees to upgrades, answers plain requests, and counts its tunnels. */
-    private static final class Server {
-        private final ServerSocket listening = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
-        private final AtomicInteger open = new AtomicInteger();
-
-        Server() throws IOException {
-            thread(this::accept);
-        }
-
-        private static void thread(Runnable task) {
-            Thread thread = new Thread(null, task, "server", 128 * 1024);
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        int port() {
-            return listening.getLocalPort();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket socket = listening.accept();
-                    thread(() -> talk(socket));
-                }
-            } catch (IOException e) {
-                // Closed: the measurement is over.
-            }
-        }
-
-        private void talk(Socket socket) {
-            try (socket) {
-                for (Http.Message m; (m = Http.read(socket.getInputStream())) != null;) {
-                    String key = m.headers().get("Sec-WebSocket-Key");
-                    if (key == null) {
-                        socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-                                .getBytes(StandardCharsets.US_ASCII));
-                        continue;
-                    }
-                    open.incrementAndGet();
-                    try {
-                        socket.getOutputStream().write(Ws.agreed(key,
-                                "").getBytes(StandardCharsets.US_ASCII));
-                        Ws ws = new Ws(socket, false);
-                        for (Ws.Frame f; (f = ws.read()) != null && f.opcode() != 8;) {
-                            ws.send(f.opcode(), f.last(), f.payload());
-                        }
-                        ws.close(1001);
-                    } finally {
-                        open.decrementAndGet();
-                    }
-                    return;
-                }
-            } catch (IOException e) {
-                // The peer hung up.
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/bench/java/larkbank/sidecar/DrainServers.java
@@ -0,0 +1,122 @@
+package larkbank.sidecar;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import larkbank.testkit.Http;
+import larkbank.testkit.Ws;
+
+/**
+ * Servers in a process of their own, so that its descriptors do not count: they agree to upgrades, send
+ * messages back and answer plain requests. Argument: how many. Says their ports in one line, and then for
+ * each line that comes how many tunnels each has open.
+ */
+public final class DrainServers implements AutoCloseable {
+
+    private final Process process;
+    private final BufferedReader answers;
+    private final int[] ports;
+
+    /** In a process of its own, with the class path of this one. */
+    DrainServers(int count) throws IOException {
+        process = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xss256k", "-cp",
+                System.getProperty("java.class.path"), DrainServers.class.getName(), String.valueOf(count))
+                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        answers = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.US_ASCII));
+        ports = numbers();
+    }
+
+    private int[] numbers() throws IOException {
+        return Arrays.stream(answers.readLine().split(" ")).mapToInt(Integer::parseInt).toArray();
+    }
+
+    int[] ports() {
+        return ports;
+    }
+
+    synchronized int[] open() throws IOException {
+        process.getOutputStream().write('\n');
+        process.getOutputStream().flush();
+        return numbers();
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+    }
+
+    public static void main(String[] args) throws IOException {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < Integer.parseInt(args[0]); i++) {
+            servers.add(new Server());
+        }
+        System.out.println(String.join(" ", servers.stream()
+                .map(s -> String.valueOf(s.listening.getLocalPort())).toList()));
+        while (System.in.read() >= 0) {
+            System.out.println(String.join(" ", servers.stream().map(s -> s.open.toString()).toList()));
+        }
+    }
+
+    private static final class Server {
+        private final ServerSocket listening = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+        private final AtomicInteger open = new AtomicInteger();
+
+        Server() throws IOException {
+            thread(this::accept);
+        }
+
+        private static void thread(Runnable task) {
+            Thread thread = new Thread(task, "server");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = listening.accept();
+                    thread(() -> talk(socket));
+                }
+            } catch (IOException e) {
+                // Closed: the measurement is over.
+            }
+        }
+
+        private void talk(Socket socket) {
+            try (socket) {
+                for (Http.Message m; (m = Http.read(socket.getInputStream())) != null;) {
+                    String key = m.headers().get("Sec-WebSocket-Key");
+                    if (key == null) {
+                        socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                                .getBytes(StandardCharsets.US_ASCII));
+                        continue;
+                    }
+                    open.incrementAndGet();
+                    try {
+                        socket.getOutputStream().write(Ws.agreed(key, "Sec-WebSocket-Protocol: chat\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
+                        Ws ws = new Ws(socket, false);
+                        for (Ws.Frame f; (f = ws.read()) != null && f.opcode() != 8;) {
+                            ws.send(f.opcode() == 9 ? 10 : f.opcode(), f.last(), f.payload());
+                        }
+                        ws.close(1001);
+                    } finally {
+                        open.decrementAndGet();
+                    }
+                    return;
+                }
+            } catch (IOException e) {
+                // The peer hung up.
+            }
+        }
+    }
+}
--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -39,8 +39,8 @@
     private static final int RELABEL = 128;
     /** Deterministic subsetting: servers of a node that a sidecar keeps, beside what its rate asks for. */
     private static final int KEEP = 2;
-    /** Spill once a node's pick costs this many times the next node's. */
-    private static final double SPILL = 1.5;
+    /** Spill once a node's pick costs so many times the next node's; within a zone for what is to stay. */
+    private static final double SPILL = 1.5, EVEN = 1.1;
     /** Cost of a new connection while set-ups take no time; what a set-up of an aim adds; weight of one. */
     private static final double NEW_CONNECTION = 1.25, SETUP_COST = 10, SETUP_WEIGHT = 0.3;
     /** Time constants in aims: of latency; of a class fault and the distrust of idle connections. */
@@ -595,7 +595,8 @@
                     : pick(now, p, node, keep, best != null);
             if (pick == null || pick == best) continue;
             double cost = cost(now, p, pick);
-            if (best == null || bestCost > cost * SPILL) {
+            boolean even = p.request.terms().stays() && pick.line.zone() == home;
+            if (best == null || bestCost > cost * (even ? EVEN : SPILL)) {
                 best = pick;
                 bestCost = cost;
             }
@@ -609,8 +610,7 @@
      * connections; the next ones step in for the sick and full. Harm: fewer servers to choose from. */
     private Backend pick(long now, Pending p, Roster<Backend> node, int keep, boolean cheapest) {
         boolean keyed = !cheapest && byKey(p);
-        int most = keyed ? node.size() : Math.min(keep, node.size());
-        int count = 0;
+        int count = 0, most = keyed ? node.size() : Math.min(keep, node.size());
         Backend first = null, second = null;
         for (int i = 0; i < node.size() && count < most && i < DRAWS + KEEP; i++) {
             Backend b = node.get(i);
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -133,6 +133,7 @@
                     + " life %s, drain %s, %d back a second",
                     w.maxFrame(), w.maxMessage(), time(w.idleMicros()), time(w.pingMicros()),
                     time(w.pongMicros()), time(w.lifeMicros()), time(w.drainMicros()), w.reconnects());
+            line("  goes with        %d %s", w.farewell().code(), w.farewell().reason());
             line("  tunnels          %s in all, %s of a tenant; evicted after %s; resumed: %s",
                     count(w.bounds().most()), count(w.bounds().perTenant()), time(w.bounds().evictMicros()),
                     w.resume() == null ? "never" : String.join(" ", new TreeSet<>(w.resume().subprotocols()))
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -1,6 +1,7 @@
 package larkbank.operators;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -15,6 +16,7 @@
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
 import larkbank.operators.OperatorsFile.TunnelSet;
+import larkbank.route.Farewell;
 import larkbank.route.HeaderTest;
 import larkbank.route.HostPattern;
 import larkbank.route.Match;
@@ -34,6 +36,8 @@
     private static final long MOST_PRIORITY = 1_000;
     private static final long MOST_BYTES = 1L << 40;
     private static final long MOST_TUNNELS = 1_000_000;
+    /** What fits into a close frame beside its code (RFC 6455, section 5.5). */
+    private static final int MOST_REASON = 123;
     /** What the sidecar sets itself. */
     private static final String OWN_HEADERS = "host|connection|upgrade|content-length|transfer-encoding"
             + "|request-id|tenant|request-timeout-ms|idempotency-key";
@@ -225,12 +229,27 @@
         long drain = section.time("drain_time", 100_000, 600_000_000L, 10_000_000);
         long reconnects = section.count("reconnect_rate", 1, 100_000, 50);
         Resume resume = resume(section);
+        Farewell farewell = farewell(section);
         TunnelBounds bounds = new TunnelBounds(name(route),
                 (int) section.count("max_tunnels", 1, MOST_TUNNELS, Integer.MAX_VALUE),
                 (int) section.count("max_tunnels_per_tenant", 1, MOST_TUNNELS, Integer.MAX_VALUE),
                 section.time("evict_after", 100_000, 86_400_000_000L, 0));
         section.rejectUnknown();
-        return new WebSocketLimits(frame, message, idle, ping, pong, life, drain, reconnects, bounds, resume);
+        return new WebSocketLimits(frame, message, idle, ping, pong, life, drain, reconnects, farewell,
+                bounds, resume);
+    }
+
+    private static Farewell farewell(Section section) {
+        int code = (int) section.count("drain_code", 1001, 4999, 1001);
+        if (code > 1001 && code < 4000 && code != 1012 && code != 1013) {
+            section.problem("drain_code", "'drain_code' is " + code
+                    + "; it must be 1001, 1012, 1013 or 4000 to 4999");
+        }
+        String reason = section.text("drain_reason");
+        if (reason != null && reason.getBytes(StandardCharsets.UTF_8).length > MOST_REASON) {
+            section.problem("drain_reason", "'drain_reason' is longer than " + MOST_REASON + " bytes");
+        }
+        return new Farewell(code, reason == null ? "going away" : reason);
     }
 
     private static Resume resume(Section section) {
--- a/src/main/java/larkbank/route/WebSocketLimits.java
+++ b/src/main/java/larkbank/route/WebSocketLimits.java
@@ -11,9 +11,10 @@
  * @param lifeMicros longest life
  * @param drainMicros from when a server is told to leave to the last moment of its connections
  * @param reconnects connections a second that a server can take from others that leave
+ * @param farewell how one is closed whose server or sidecar goes
  * @param bounds how many there may be
  * @param resume how one goes on at another server; null where it can't
  */
 public record WebSocketLimits(long maxFrame, long maxMessage, long idleMicros, long pingMicros,
         long pongMicros, long lifeMicros, long drainMicros, long reconnects,
-        TunnelBounds bounds, Resume resume) { }
+        Farewell farewell, TunnelBounds bounds, Resume resume) { }
--- a/src/main/java/larkbank/websocket/Tunnel.java
+++ b/src/main/java/larkbank/websocket/Tunnel.java
@@ -48,8 +48,8 @@
     private static final double BYTE_SECONDS = 1e-7;
     /** Weight of what was last seen in what is known. */
     private static final double WEIGH_PART = 0.5;
-    /** What a new one is taken to carry, since handshake and first messages are load as well. */
-    private static final double START_WEIGHT = 0.2;
+    /** What a new one is taken to carry: a handshake and three messages in its first second. */
+    private static final double START_WEIGHT = 0.02;
     /** Longest first message that can be repeated, in bytes. */
     private static final int MOST_REPEATED = 64 * 1024;
     /** Codes with which a server that was told to close says that nothing is wrong. */
@@ -167,6 +167,11 @@
         }
     }
 
+    /** Ends it in order, since its server or this process goes. */
+    public void goAway(long nowMicros) {
+        close(limits.farewell().code(), limits.farewell().reason(), nowMicros);
+    }
+
     /** Whether it may begin to move to another server. */
     public boolean canMove() {
         boolean repeatable = first == null || first.readableBytes() <= MOST_REPEATED;
--- a/src/main/java/larkbank/websocket/Tunnels.java
+++ b/src/main/java/larkbank/websocket/Tunnels.java
@@ -288,7 +288,7 @@
     }
 
     private void close(Tunnel tunnel) {
-        tunnel.close(Frames.GOING_AWAY, "going away", clock.getAsLong());
+        tunnel.goAway(clock.getAsLong());
     }
 
     /** The server of a tunnel leaves, and was told to then: it goes in the order of its pool. */
--- a/src/test/java/larkbank/operators/OperatorsTest.java
+++ b/src/test/java/larkbank/operators/OperatorsTest.java
@@ -116,7 +116,8 @@
                 "client_gives_up", "max_message", "max_frame", "idle_timeout", "ping_interval",
                         "ping_timeout",
                 "max_life", "drain_time", "reconnect_rate", "max_tunnels", "max_tunnels_per_tenant",
-                "evict_after", "resumable", "resume_header", "resume_first_message")) {
+                "evict_after", "resumable", "resume_header", "resume_first_message",
+                "drain_code", "drain_reason")) {
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
         String example = Files.readString(Path.of("deploy/operators.example.toml"));
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -105,6 +105,11 @@
 
     /** With an operators' file. */
     Harness startWith(String operators) throws Exception {
+        return startWith(operators, Choice::new);
+    }
+
+    Harness startWith(String operators, BiFunction<Settings, Actions, LoadBalancer> modules)
+            throws Exception {
         Path file = folder.resolve("operators.toml");
         Files.writeString(file, operators);
         Config config = config();
@@ -113,7 +118,7 @@
             layout = (OperatorsLayout) made.of(parts);
             return layout;
         };
-        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), Choice::new,
+        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), modules,
                 layouts)).get();
         address = sidecar.start().get(10, TimeUnit.SECONDS);
         return this;
--- a/src/test/java/larkbank/sidecar/TunnelDrainTest.java
+++ b/src/test/java/larkbank/sidecar/TunnelDrainTest.java
@@ -10,11 +10,13 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import larkbank.testkit.Stub;
 import larkbank.testkit.Ws;
+import larkbank.websocket.UpgradeAccount.State;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -121,6 +123,99 @@
         assertTrue(kept >= 8, "kept " + kept);
     }
 
+    private void await(State state) throws Exception {
+        while (harness.loop.submit(() -> harness.counters().in(state)).get() != 1) {
+            Thread.onSpinWait();
+        }
+        assertTrue(harness.loop.submit(() -> harness.counters().addUp()).get());
+    }
+
+    /** A server is told to leave while its 101 is on the way: the tunnel opens, and goes as the others do. */
+    @Test
+    void aDrainWhileTheHandshakeIsOut() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        Stub one = server(seen -> {
+            try {
+                told.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            Ws ws = Ws.agree(seen, "");
+            ws.close(ws.message().code());
+        });
+        Stub two = server(Ws.echo());
+        sidecar(file("drain_time = \"300ms\"\n", one));
+        Harness.Client client = ask("");
+        one.take();
+        harness.reload(file("drain_time = \"300ms\"\n", two));
+        told.countDown();
+        assertEquals(101, client.answer().status());
+        Ws ws = new Ws(client.socket, true);
+        assertEquals(1001, ws.message().code());
+        ws.close(1001);
+        await(State.CLOSED_BY_SIDECAR);
+    }
+
+    /** Discovery says that a server drains and is gone itself: the drain goes on as told. */
+    @Test
+    void discoveryIsDownInTheMiddle() throws Exception {
+        Stub one = server(Ws.echo());
+        harness = new Harness(folder, one);
+        open.add(harness);
+        harness.startWith(file("drain_time = \"300ms\"\n")
+                .replaceFirst("(?s)source = \"static\".*?\\]\n", "source = \"discovery\"\n"));
+        Stub.Seen watch = harness.discovery.take();
+        Ws ws = open();
+        watch.reply("200 OK", "", Harness.json(Harness.list(9, false, "terminating", one)));
+        harness.discovery.take();
+        harness.discovery.close();
+        assertEquals(1001, ws.message().code());
+        ws.close(1001);
+        await(State.CLOSED_BY_SIDECAR);
+    }
+
+    /** A client that never reads is closed with its tunnel in the time that a close has, and counted once. */
+    @Test
+    void aClientThatNeverReadsIsEnded() throws Exception {
+        Stub one = server(seen -> {
+            Ws ws = Ws.agree(seen, "");
+            byte[] much = new byte[100_000];
+            while (true) {
+                ws.send(2, true, much);
+            }
+        });
+        Stub two = server(Ws.echo());
+        sidecar(file("drain_time = \"300ms\"\n", one));
+        open();
+        harness.reload(file("drain_time = \"300ms\"\n", two));
+        await(State.CLOSED_BY_SIDECAR);
+        one.awaitEnd();
+    }
+
+    /** The process ends while a server drains: the rest is closed in that time, each once. */
+    @Test
+    void theProcessEndsDuringADrain() throws Exception {
+        Stub one = server(Ws.echo());
+        Stub two = server(Ws.echo());
+        String slow = "reconnect_rate = 1\ndrain_time = \"60s\"\ndrain_code = 4001\n"
+                + "drain_reason = \"come back\"\n";
+        sidecar(file(slow, one));
+        List<Ws> all = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            all.add(open());
+        }
+        harness.reload(file(slow, two));
+        CountDownLatch ended = harness.stop();
+        for (Ws ws : all) {
+            Ws.Frame last = ws.message();
+            assertEquals(4001, last.code());
+            assertEquals("come back", last.text().substring(2));
+            ws.close(4001);
+        }
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+        assertEquals(30, harness.loop.submit(() -> harness.counters().in(State.CLOSED_BY_SIDECAR)).get());
+    }
+
     /** Tunnels stay where they are, so new ones and requests go where fewer are. */
     @Test
     void tunnelsWeighInTheChoiceOfAServer() throws Exception {
--- a/src/test/java/larkbank/testkit/Ws.java
+++ b/src/test/java/larkbank/testkit/Ws.java
@@ -131,6 +131,11 @@
         return send(8, true, closing(code, ""));
     }
 
+    /** Closes the connection. */
+    public void end() throws IOException {
+        socket.close();
+    }
+
     /** The next frame, checked for its mask; null at the end, an exception within a frame. */
     public Frame read() throws IOException {
         int first;
