--- a/src/bench/java/larkbank/sidecar/DrainBench.java
+++ b/src/bench/java/larkbank/sidecar/DrainBench.java
@@ -112,7 +112,8 @@
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < tunnels; i++) {
                 Ws ws = open(harness);
-                Thread client = new Thread(null, () -> stay(harness, ws, back, refused), "client", 128 * 1024);
+                Thread client = new Thread(null, () -> stay(harness, ws, back, refused), "client",
+                        128 * 1024);
                 client.setDaemon(true);
                 client.start();
                 clients.add(client);
@@ -134,9 +135,9 @@
             waiting[0].start();
             plain(harness, "during", 2_000);
             waiting[0].join();
-            System.out.printf("; all at other servers after %.1f s, most in 100 ms: %d back, %d refused; moved %d;"
-                    + " one has %.2f of the mean%n", (System.nanoTime() - since) / 1e9, most(back), most(refused),
-                    harness.moved(), uneven(servers.open(), 1, 3));
+            System.out.printf("; all at other servers after %.1f s, most in 100 ms: %d back, %d refused;"
+                    + " moved %d; one has %.2f of the mean%n", (System.nanoTime() - since) / 1e9, most(back),
+                    most(refused), harness.moved(), uneven(servers.open(), 1, 3));
         }
     }
 
--- a/src/bench/java/larkbank/sidecar/DrainServers.java
+++ b/src/bench/java/larkbank/sidecar/DrainServers.java
@@ -27,8 +27,9 @@
 
     /** In a process of its own, with the class path of this one. */
     DrainServers(int count) throws IOException {
-        process = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xss256k", "-cp",
-                System.getProperty("java.class.path"), DrainServers.class.getName(), String.valueOf(count))
+        process = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xss256k",
+                "-cp", System.getProperty("java.class.path"),
+                DrainServers.class.getName(), String.valueOf(count))
                 .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         answers = new BufferedReader(new InputStreamReader(process.getInputStream(),
                 StandardCharsets.US_ASCII));
