One formula for a cold server's share; one word a second for each server's tunnels

Need, found on reading the change: the share of a cold server stood in the module, in Intake and in ServerPool; since tunnels have a weight at their start each idle one told the module its weight every second; full servers were looked up in a list; a tunnel that closed, not only one that was held back, read its client without back-pressure; a move did not keep to its route's timeout; begin and goOver joined the sides in two copies.

Change: Rules.coldShare serves all three; weights are added up and told once for each server; a set holds the full ones; only a client that was held back is read again; Tunnel.flow and Tunnel.mask serve both places; the timeout of the route bounds a move.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -748,10 +748,7 @@
     /** A server that came back before the list says so is as cold as one that the list calls new. */
     private double coldShare(long now, Backend b) {
         long start = b.maybeDead ? now : Math.max(b.line.startMicros(), b.returnedAt);
-        long cold = settings.rules().coldMicros();
-        if (start <= 0 || now - start >= cold) return 1;
-        double from = settings.rules().coldFrom();
-        return Math.min(1, from + (1 - from) * Math.max(0, now - start) / cold);
+        return settings.rules().coldShare(now, start);
     }
 
     /** Admission control of one server, slow start and half-open trials among it. */
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -111,6 +111,13 @@
             require(extraFloor >= 0 && extraPerRequest >= 0 && extraPerRequest <= 1,
                     "the retry budget is negative or above one a request");
         }
+
+        /** What a server that started then (0: long ago) takes by now, as a part of what a warm one does. */
+        public double coldShare(long nowMicros, long startMicros) {
+            long age = nowMicros - startMicros;
+            return startMicros <= 0 || age >= coldMicros ? 1
+                    : Math.min(1, coldFrom + (1 - coldFrom) * Math.max(0, age) / coldMicros);
+        }
     }
 
     /** Everything that an instance is handed at its start; the probe price is a fraction of the result. */
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -40,6 +40,8 @@
     final Upgrade upgrade;
     final HttpMethod method;
     final String uri;
+    /** The longest that it may take, whatever its client says. */
+    final long timeoutMicros;
     final HttpHeaders headers;
     final byte[] body;
     final Client client;
@@ -59,6 +61,7 @@
         pool = way.pool();
         upgrade = way.upgrade();
         uri = way.uri();
+        timeoutMicros = way.timeoutMicros();
         this.method = method;
         this.headers = headers;
         this.body = body;
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -115,7 +115,8 @@
      */
     void takeAgain(Call first, String id, Upgrade upgrade, HttpHeaders headers, Call.Client client) {
         Request r = first.request;
-        long timeout = Long.parseLong(headers.get(Headers.TIMEOUT)) * 1000;
+        long timeout = Math.min(first.timeoutMicros,
+                Long.parseLong(headers.get(Headers.TIMEOUT)) * 1000);
         Call call = new Call(new Request(id, r.requestClass(), r.tenant(), false, r.key(),
                 clock.micros() + timeout, 0, r.write(), r.terms()),
                 new Way(this, r.requestClass(), first.uri, null, timeout, r.terms(), upgrade), first.method,
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -230,31 +230,20 @@
         long now = clock.micros();
         if (warmAt < 0 || now - warmAt >= WARM_MICROS) {
             warmAt = now;
-            warm = nodes.values().stream().filter(n -> n.leavingSince == 0).mapToDouble(n -> share(now, n))
-                    .sum();
+            warm = nodes.values().stream().filter(n -> n.leavingSince == 0)
+                    .mapToDouble(n -> rules.coldShare(now, n.line.startMicros())).sum();
         }
         return warm;
     }
 
-    private double share(long now, Node node) {
-        long age = now - node.line.startMicros();
-        boolean isWarm = node.line.startMicros() <= 0 || age >= rules.coldMicros();
-        return isWarm ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldMicros();
-    }
-
     @Override
     public PoolPlan.Tunnelled tunnels() {
         return tunnels;
     }
 
     @Override
-    public double coldFrom() {
-        return rules.coldFrom();
-    }
-
-    @Override
-    public long coldMicros() {
-        return rules.coldMicros();
+    public Rules rules() {
+        return rules;
     }
 
     /** Whether any server is in service. */
--- a/src/main/java/larkbank/sidecar/Upgrade.java
+++ b/src/main/java/larkbank/sidecar/Upgrade.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import larkbank.LoadBalancer.Rules;
 import larkbank.route.PoolPlan;
 
 /**
@@ -25,10 +26,8 @@
         /** How many connections that stay it takes, in all and each server, and how many a second. */
         PoolPlan.Tunnelled tunnels();
 
-        /** The part of a warm one that a server takes at its start, and for how long it is cold. */
-        double coldFrom();
-
-        long coldMicros();
+        /** Those that say what a cold server takes. */
+        Rules rules();
     }
 
     /** The server of a connection that has gone over. */
--- a/src/main/java/larkbank/sidecar/WebSocketUpgrades.java
+++ b/src/main/java/larkbank/sidecar/WebSocketUpgrades.java
@@ -84,8 +84,7 @@
 
         @Override
         public Intake.Rule rule() {
-            return new Intake.Rule(fleet.tunnels().rate(), fleet.coldFrom(), fleet.coldMicros(),
-                    fleet.tunnels().perServer());
+            return new Intake.Rule(fleet.tunnels().rate(), fleet.rules(), fleet.tunnels().perServer());
         }
     }
 
--- a/src/main/java/larkbank/websocket/Intake.java
+++ b/src/main/java/larkbank/websocket/Intake.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import larkbank.LoadBalancer.Rules;
 
 /**
  * What the servers of a pool can take of new connections that stay. Each takes so many a second, a cold one
@@ -26,7 +29,7 @@
     private Rule rule;
     private final Map<S, Account> servers = new HashMap<>();
     /** Those that were told to be full. */
-    private final List<S> full = new ArrayList<>();
+    private final Set<S> full = new LinkedHashSet<>();
     private double saved = Double.NaN;
     private long at;
     private long nextReturn;
@@ -35,21 +38,10 @@
      * What holds for each server.
      *
      * @param rate new connections a second that a warm one takes, above 0
-     * @param coldFrom the part of that a server takes at its start, in 0 to 1
-     * @param coldMicros from its start until it takes all of it
+     * @param cold what a cold one takes of that
      * @param most open connections at most
      */
-    public record Rule(double rate, double coldFrom, long coldMicros, int most) {
-        /**
-         * What a server that started then takes by now, as a part of what a warm one does; 0 for long ago.
-         */
-        public double share(long now, long startMicros) {
-            if (startMicros <= 0 || now - startMicros >= coldMicros) {
-                return 1;
-            }
-            return coldFrom + (1 - coldFrom) * Math.max(0, now - startMicros) / coldMicros;
-        }
-    }
+    public record Rule(double rate, Rules cold, int most) { }
 
     private static final class Account {
         private final long startMicros;
@@ -125,7 +117,7 @@
     public boolean isFull(long now, S server) {
         Account account = servers.get(server);
         boolean is = account != null && (account.open >= rule.most() || refill(now, account).saved < 1);
-        if (is && !full.contains(server)) {
+        if (is) {
             full.add(server);
         }
         return is;
@@ -166,13 +158,14 @@
     }
 
     private double most(long now, Account account) {
-        double share = rule.share(now, account.startMicros);
+        double share = rule.cold().coldShare(now, account.startMicros);
         return Math.max(1, rule.rate() * share * (share < 1 ? COLD_SAVED_SECONDS : SAVED_SECONDS));
     }
 
     private Account refill(long now, Account account) {
         // The share of the beginning holds for the whole time: the bound is kept, never exceeded.
-        double gained = rule.rate() * rule.share(account.at, account.startMicros) * (now - account.at) / 1e6;
+        double gained = rule.rate() * rule.cold().coldShare(account.at, account.startMicros)
+                * (now - account.at) / 1e6;
         account.saved = Math.min(most(now, account), account.saved + gained);
         account.at = now;
         return account;
--- a/src/main/java/larkbank/websocket/Tunnel.java
+++ b/src/main/java/larkbank/websocket/Tunnel.java
@@ -117,10 +117,15 @@
         }
         server.read(earlyFromServer);
         client.read(earlyFromClient);
-        client.channel.flush();
-        server.channel.flush();
         client.channel.pipeline().addLast("tunnel", client);
         server.channel.pipeline().addLast("tunnel", server);
+        flow();
+    }
+
+    /** Lets both sides be read, each as the other takes what comes of it. */
+    private void flow() {
+        client.channel.flush();
+        server.channel.flush();
         client.channel.config().setAutoRead(server.channel.isWritable());
         server.channel.config().setAutoRead(client.channel.isWritable());
         if (!client.channel.isActive()) {
@@ -237,13 +242,7 @@
         to.moved().over(true);
         server.read(to.early());
         to.channel().pipeline().addLast("tunnel", server);
-        client.channel.flush();
-        server.channel.flush();
-        client.channel.config().setAutoRead(server.channel.isWritable());
-        server.channel.config().setAutoRead(client.channel.isWritable());
-        if (!server.channel.isActive()) {
-            server.down();
-        }
+        flow();
     }
 
     /** Stays as it is or ends as a whole: the other server is not needed. */
@@ -255,10 +254,8 @@
             Next unused = next;
             next = null;
             unused.early().release();
-            byte[] mask = new byte[4];
-            ByteBuffer.wrap(mask).putInt(random.nextInt());
             unused.channel().writeAndFlush(Frames.frame(Frames.CLOSE, true, false, Unpooled.wrappedBuffer(
-                    Frames.closing(Frames.GOING_AWAY, "not needed")), mask))
+                    Frames.closing(Frames.GOING_AWAY, "not needed")), mask()))
                     .addListener(f -> unused.channel().close());
             unused.moved().over(false);
         }
@@ -295,11 +292,22 @@
     private void closing(long now) {
         if (closingAt == 0) {
             closingAt = Math.max(1, now);
+            boolean heldBack = move == Move.State.SWITCHING;
             callOff();
-            client.channel.config().setAutoRead(true);
+            if (heldBack) {
+                // Its server is sent nothing more, so what it says costs nothing, and its close is heard.
+                client.channel.config().setAutoRead(true);
+            }
         }
     }
 
+    /** What goes to servers is masked (RFC 6455, section 5.3). */
+    private byte[] mask() {
+        byte[] mask = new byte[4];
+        ByteBuffer.wrap(mask).putInt(random.nextInt());
+        return mask;
+    }
+
     private long now() {
         return clock.getAsLong();
     }
@@ -496,12 +504,7 @@
                 payload.release();
                 return;
             }
-            byte[] mask = null;
-            if (!isClient) {
-                mask = new byte[4];
-                ByteBuffer.wrap(mask).putInt(random.nextInt());
-            }
-            channel.write(Frames.frame(opcode, last, compressed, payload, mask));
+            channel.write(Frames.frame(opcode, last, compressed, payload, isClient ? null : mask()));
         }
 
         /** A side that does not answer within its time is gone, though its connection says nothing. */
--- a/src/main/java/larkbank/websocket/Tunnels.java
+++ b/src/main/java/larkbank/websocket/Tunnels.java
@@ -190,12 +190,14 @@
         member.weight = 0;
         fleet.intake.opened(clock.getAsLong(), host, host.startMicros());
         weigh(member, weight);
+        tell(fleet, host, clock.getAsLong());
     }
 
     private void depart(Member member) {
         Fleet fleet = fleet(member.host.pool());
         fleet.intake.ended(member.host);
         weigh(member, 0);
+        tell(fleet, member.host, clock.getAsLong());
         if (fleet.intake.open(member.host) == 0) {
             fleet.carried.remove(member.host);
         }
@@ -212,16 +214,13 @@
     }
 
     private Fleet fleet(Pool pool) {
-        Fleet fleet = fleets.computeIfAbsent(pool, p -> new Fleet(p.rule()));
-        fleet.intake.rule(pool.rule());
-        return fleet;
+        return fleets.computeIfAbsent(pool, p -> new Fleet(p.rule()));
     }
 
     private void weigh(Member member, double weight) {
         Fleet fleet = fleet(member.host.pool());
         fleet.carried.merge(member.host, weight - member.weight, Double::sum);
         member.weight = weight;
-        tell(fleet, member.host, clock.getAsLong());
     }
 
     private void tell(Fleet fleet, Host host, long now) {
@@ -231,6 +230,8 @@
 
     private void free(Pool pool, long now) {
         Fleet fleet = fleet(pool);
+        // Operators may have set another one.
+        fleet.intake.rule(pool.rule());
         fleet.intake.freed(now).forEach(host -> tell(fleet, host, now));
     }
 
@@ -254,7 +255,7 @@
         if (now - weighedAt >= WEIGH_MICROS) {
             weighedAt = now;
             open.forEach((tunnel, member) -> weigh(member, tunnel.weigh(now)));
-            fleets.forEach((pool, fleet) -> learn(fleet, now));
+            fleets.values().forEach(fleet -> learn(fleet, now));
         }
         sweeping = !open.isEmpty() || fleets.values().stream().anyMatch(f -> f.intake.anyFull());
         if (sweeping) {
@@ -262,12 +263,14 @@
         }
     }
 
-    private static void learn(Fleet fleet, long now) {
+    /** Once for each server, however many tunnels it has. */
+    private void learn(Fleet fleet, long now) {
         fleet.carried.forEach((host, weight) -> {
             if (host.toldAt() != 0 && now - host.toldAt() < FRESH_MICROS && !Double.isNaN(host.use())) {
                 fleet.fit.sample(host.use(), host.requests(), weight);
             }
         });
+        fleet.carried.keySet().forEach(host -> tell(fleet, host, now));
         fleet.intake.forget(now);
     }
 
--- a/src/test/java/larkbank/websocket/IntakeTest.java
+++ b/src/test/java/larkbank/websocket/IntakeTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import larkbank.LoadBalancer.Rules;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,11 +19,15 @@
     private static final int ANY = Integer.MAX_VALUE;
     private static final long SECOND = 1_000_000;
 
+    private static Rules cold(double from, long micros) {
+        return new Rules(from, micros, 0, 0, 0, 0, 0);
+    }
+
     /** Five thousand come at once: a second's worth is taken, and the others come back as a stream. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void aWaveComesBackAsAStream(long seed) {
-        Intake<String> intake = new Intake<>(new Intake.Rule(100, 0.4, SECOND, ANY));
+        Intake<String> intake = new Intake<>(new Intake.Rule(100, cold(0.4, SECOND), ANY));
         SplittableRandom random = new SplittableRandom(seed);
         PriorityQueue<Long> coming = new PriorityQueue<>();
         for (int i = 0; i < 5_000; i++) {
@@ -60,7 +65,7 @@
     /** A cold server is full once it has its cold share, however many ask, and takes more as it warms up. */
     @Test
     void aColdServerKeepsToItsShare() {
-        Intake<String> intake = new Intake<>(new Intake.Rule(200, 0.4, SECOND, ANY));
+        Intake<String> intake = new Intake<>(new Intake.Rule(200, cold(0.4, SECOND), ANY));
         long start = 5 * SECOND;
         int before = 0;
         int after = 0;
@@ -81,7 +86,7 @@
 
     @Test
     void whoIsFullIsToldOnceWhenThatIsOver() {
-        Intake<String> intake = new Intake<>(new Intake.Rule(100, 1, 0, 2));
+        Intake<String> intake = new Intake<>(new Intake.Rule(100, cold(1, 0), 2));
         intake.opened(SECOND, "a", 0);
         assertFalse(intake.isFull(SECOND, "a"));
         intake.opened(SECOND, "a", 0);
@@ -96,7 +101,7 @@
 
     @Test
     void withoutServersNobodyIsTaken() {
-        Intake<String> intake = new Intake<>(new Intake.Rule(100, 1, 0, ANY));
+        Intake<String> intake = new Intake<>(new Intake.Rule(100, cold(1, 0), ANY));
         SplittableRandom random = new SplittableRandom(1);
         for (int i = 0; i < 100; i++) {
             long retry = intake.ask(SECOND, 0, random);
