--- a/src/main/java/larkbank/Hashes.java
+++ b/src/main/java/larkbank/Hashes.java
@@ -3,12 +3,12 @@
 import java.util.Arrays;
 
 /** Hashes that must be the same in every sidecar and after every restart. */
-final class Hashes {
+public final class Hashes {
 
     private Hashes() { }
 
     /** An id with a salt, mixed as in SplitMix64 (Steele, Lea and Flood, 2014). */
-    static long mix(long id, long salt) {
+    public static long mix(long id, long salt) {
         long h = id * 0x9E3779B97F4A7C15L + (salt + 1) * 0xC2B2AE3D27D4EB4FL;
         h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
         h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
@@ -16,7 +16,7 @@
     }
 
     /** The same as a number from 0 to below 1. */
-    static double uniform(long id, long salt) {
+    public static double uniform(long id, long salt) {
         return (mix(id, salt) >>> 11) * 0x1.0p-53;
     }
 
--- a/src/main/java/larkbank/sidecar/Ids.java
+++ b/src/main/java/larkbank/Ids.java
@@ -1,12 +1,12 @@
-package larkbank.sidecar;
+package larkbank;
 
 /** Numbers for texts, the same in every sidecar and after every restart. */
-final class Ids {
+public final class Ids {
 
     private Ids() { }
 
     /** FNV-1a in 64 bits without the sign: server ids and keys must agree between sidecars. */
-    static long of(String text) {
+    public static long of(String text) {
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
--- /dev/null
+++ b/src/main/java/larkbank/operators/CellsReader.java
@@ -0,0 +1,217 @@
+package larkbank.operators;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import larkbank.Ids;
+import larkbank.LoadBalancer.Tenant;
+import larkbank.cell.Cell;
+import larkbank.cell.CellsPlan;
+import larkbank.cell.CellsPlan.Quarantine;
+import larkbank.cell.CellsPlan.Spread;
+import larkbank.cell.CellsPlan.Unit;
+import larkbank.cell.MovePlan;
+import larkbank.operators.OperatorsFile.CellsSection;
+
+/** Reads the form of {@code [pools.NAME.cells]}: keys, types, ranges, and names of cells and units. */
+final class CellsReader {
+
+    private static final int LEAST = 2, MOST = 64;
+    private static final Set<String> SPREADS = Set.of("server", "group");
+    private static final Set<String> UNITS = Set.of("tenant", "key", "header:NAME");
+    private static final String HEADER = "header:";
+
+    private final Facts facts;
+    private final Section section;
+    private final Map<String, Integer> lines = new HashMap<>();
+
+    CellsReader(Facts facts, Section section) {
+        this.facts = facts;
+        this.section = section;
+    }
+
+    /** Null where there is no sense in going on; why has been reported. */
+    CellsSection read() {
+        lines.put("cells", section.line());
+        List<String> names = names();
+        String by = section.required("by");
+        Unit unit = unit(by);
+        String spread = section.text("spread");
+        if (spread != null && !SPREADS.contains(spread)) {
+            section.problem("spread", "no spread '" + spread + "'; there are server and group"
+                    + Words.hint(spread, SPREADS));
+        }
+        List<Cell> cells = cells(names);
+        Map<Long, Integer> assigned = assigned(names, unit);
+        long keep = section.time("keep_places", 0, 3_600_000_000L, 60_000_000);
+        Double guests = section.number("guests", 0, 0.5);
+        Quarantine quarantine = quarantine(names, cells);
+        List<MovePlan> moves = new ArrayList<>();
+        for (Section move : section.tables("moves")) {
+            move(move, names, unit, moves);
+        }
+        section.rejectUnknown();
+        if (cells.size() < LEAST || unit == null || cells.stream().allMatch(Cell::reserved)) {
+            return null;
+        }
+        String header = unit == Unit.HEADER ? by.substring(HEADER.length()).toLowerCase(Locale.ROOT) : null;
+        return new CellsSection(new CellsPlan(unit, header, cells,
+                "group".equals(spread) ? Spread.GROUP : Spread.SERVER, keep, assigned, moves, 0, 0,
+                guests == null ? 0 : guests, quarantine), lines);
+    }
+
+    private List<String> names() {
+        List<String> names = section.texts("names");
+        if (names == null) {
+            if (!section.has("names")) {
+                section.problems().add(section.line(), "[" + section.title() + "] lacks 'names'");
+            }
+            return List.of();
+        }
+        lines.put("names", section.lineOf("names"));
+        if (names.size() < LEAST || names.size() > MOST) {
+            section.problem("names", "'names' has " + names.size() + " cells; it must have " + LEAST + " to "
+                    + MOST);
+        }
+        Set<String> seen = new LinkedHashSet<>();
+        for (String name : names) {
+            if (!name.matches("[A-Za-z0-9._-]{1,64}")) {
+                section.problem("names", "'" + name + "' is no name of a cell; use letters, digits, '.', '_'"
+                        + " and '-'");
+            }
+            if (!seen.add(name)) {
+                section.problem("names", "there are two cells '" + name + "'");
+            }
+        }
+        return List.copyOf(seen);
+    }
+
+    private Unit unit(String by) {
+        if (by == null) {
+            return null;
+        }
+        if (by.startsWith(HEADER)) {
+            String name = by.substring(HEADER.length());
+            if (name.matches(OperatorsReader.TOKEN)) {
+                return Unit.HEADER;
+            }
+            section.problem("by", "there is no header '" + name + "'; a name is one word (RFC 9110, section"
+                    + " 5.1)");
+            return null;
+        }
+        if (by.equals("tenant") || by.equals("key")) {
+            return Unit.valueOf(by.toUpperCase(Locale.ROOT));
+        }
+        section.problem("by", "no unit '" + by + "'; there are tenant, key and header:NAME"
+                + Words.hint(by, UNITS));
+        return null;
+    }
+
+    private List<Cell> cells(List<String> names) {
+        Map<String, Double> shares = new HashMap<>();
+        Section given = section.table("shares");
+        if (given != null) {
+            for (String name : given.keys()) {
+                cell(given, name, name, names);
+                Double share = given.number(name, 0.01, 100);
+                shares.put(name, share == null ? 1 : share);
+            }
+        }
+        List<String> reserved = section.texts("reserved");
+        for (String name : reserved == null ? List.<String>of() : reserved) {
+            cell(section, "reserved", name, names);
+        }
+        List<Cell> cells = new ArrayList<>();
+        names.forEach(n -> cells.add(new Cell(n, shares.getOrDefault(n, 1.0),
+                reserved != null && reserved.contains(n))));
+        if (!cells.isEmpty() && cells.stream().allMatch(Cell::reserved)) {
+            section.problem("reserved", "all cells are reserved, so no unit would have a home");
+        }
+        return cells;
+    }
+
+    /** The place of a cell that is named; -1 where there is none, which is reported. */
+    private static int cell(Section where, String key, String name, List<String> names) {
+        if (name != null && !names.contains(name)) {
+            where.problem(key, "there is no cell '" + name + "'" + Words.hint(name, names));
+        }
+        return names.indexOf(name);
+    }
+
+    private void known(Section where, String key, String unit, Unit kind) {
+        List<String> tenants = facts.settings().tenants().stream().map(Tenant::name).toList();
+        if (kind == Unit.TENANT && !tenants.isEmpty() && unit != null && !tenants.contains(unit)) {
+            where.problem(key, "the settings have no tenant '" + unit + "'" + Words.hint(unit, tenants));
+        }
+    }
+
+    private Map<Long, Integer> assigned(List<String> names, Unit kind) {
+        Map<Long, Integer> assigned = new LinkedHashMap<>();
+        Section given = section.table("assign");
+        if (given == null) {
+            return assigned;
+        }
+        for (String unit : given.keys()) {
+            int cell = cell(given, unit, given.text(unit), names);
+            known(given, unit, unit, kind);
+            if (cell >= 0) {
+                assigned.put(Ids.of(unit), cell);
+            }
+        }
+        return assigned;
+    }
+
+    private Quarantine quarantine(List<String> names, List<Cell> cells) {
+        String name = section.text("quarantine");
+        Double share = section.number("quarantine_share", 0.05, 1);
+        Long time = section.time("quarantine_time", 1_000_000, 3_600_000_000L);
+        if (name == null) {
+            for (String key : List.of("quarantine_share", "quarantine_time")) {
+                if (section.has(key)) {
+                    section.problem(key, "'" + key + "' without 'quarantine' has no effect");
+                }
+            }
+            return null;
+        }
+        lines.put("quarantine", section.lineOf("quarantine"));
+        int cell = cell(section, "quarantine", name, names);
+        if (cell < 0) {
+            return null;
+        }
+        if (!cells.get(cell).reserved()) {
+            section.problem("quarantine", "cell '" + name
+                    + "' is home to other units; put it into 'reserved'");
+        }
+        return new Quarantine(cell, share == null ? 0.3 : share, time == null ? 60_000_000 : time);
+    }
+
+    private void move(Section move, List<String> names, Unit kind, List<MovePlan> moves) {
+        String name = move.title().substring(move.title().lastIndexOf('.') + 1);
+        String unit = move.required("unit");
+        known(move, "unit", unit, kind);
+        int to = cell(move, "to", move.required("to"), names);
+        Long start = move.moment("start");
+        if (!move.has("start")) {
+            section.problems().add(move.line(), "[" + move.title() + "] lacks 'start'");
+        }
+        long over = move.time("over", 0, 86_400_000_000L, 0);
+        long fence = move.time("fence", 0, 60_000_000, 0);
+        move.rejectUnknown();
+        lines.put("fence." + name, move.has("fence") ? move.lineOf("fence") : move.line());
+        lines.put("to." + name, move.has("to") ? move.lineOf("to") : move.line());
+        if (unit == null || to < 0 || start == null) {
+            return;
+        }
+        for (MovePlan other : moves) {
+            if (other.unit() == Ids.of(unit)) {
+                move.problem("unit", "'" + unit + "' is moved by '" + other.name() + "' already");
+            }
+        }
+        moves.add(new MovePlan(name, Ids.of(unit), unit, to, start, over, fence));
+    }
+}
--- a/src/main/java/larkbank/operators/Checks.java
+++ b/src/main/java/larkbank/operators/Checks.java
@@ -50,6 +50,8 @@
                 facts.requestClass(route.requestClass().value()).ifPresent(c -> limits(route, c));
             }
         }
+        file.pools().values().stream().filter(p -> p.cells() != null)
+                .forEach(p -> new CellsChecks(facts, file, p, problems).run());
         shares(LimitKey.MAX_CONNECTIONS, facts.serverConnections(), "descriptors for servers");
         shares(LimitKey.MAX_REQUESTS, facts.settings().limits().open(), "requests that may be in hand");
     }
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -1,12 +1,21 @@
 package larkbank.operators;
 
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import larkbank.Addresses;
+import larkbank.Ids;
+import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.RequestClass;
+import larkbank.cell.CellsPlan;
+import larkbank.cell.Parting;
+import larkbank.cell.Placement;
 import larkbank.operators.OperatorsFile.RouteSection;
 import larkbank.route.BadTarget;
 import larkbank.route.HostName;
@@ -15,6 +24,7 @@
 import larkbank.route.RequestTarget;
 import larkbank.route.Routable;
 import larkbank.route.Route;
+import larkbank.route.StaticServer;
 import larkbank.route.Target;
 import larkbank.route.WebSocketLimits;
 
@@ -63,6 +73,7 @@
         explain.line("takes route '%s': of those that match, the first by host, path, priority, method and"
                 + " number of headers", found.name());
         operators.file().routes().stream().filter(r -> r.name().equals(found.name())).forEach(explain::route);
+        explain.cell(found.target(), normal.path(), lower);
         return explain.out.toString();
     }
 
@@ -99,6 +110,60 @@
                 value(key.key + " <=", key.text(setting.value()), setting.origin());
             }
         });
+        cells(pool);
+    }
+
+    private void cells(PoolPlan pool) {
+        CellsPlan cells = pool.cells();
+        if (cells == null) {
+            return;
+        }
+        line("  cells by %s, %ss dealt out, places kept for %s, guests up to %s%%",
+                cells.header() == null ? cells.unit().name().toLowerCase(Locale.ROOT) : cells.header(),
+                cells.spread().name().toLowerCase(Locale.ROOT), time(cells.keepMicros()),
+                100 * cells.guests());
+        Parting parting = new Parting(cells.cells(), cells.spread(), cells.keepMicros());
+        List<StaticServer> servers = pool.discovered() ? List.of() : pool.servers();
+        parting.listed(0, ListKind.COMPLETE, servers.stream().map(s -> s.line(operators.facts().zones(),
+                operators.facts().models())).toList());
+        for (int c = 0; c < cells.cells().size(); c++) {
+            int cell = c;
+            String own = servers.stream().filter(s -> parting.cellOf(Ids.of(s.id())) == cell)
+                    .map(StaticServer::id).collect(Collectors.joining(" "));
+            PoolPlan part = pool.ofCell(c);
+            line("  cell %-11s share %s%s, connections %d, requests %d%s", cells.cells().get(c).name(),
+                    cells.cells().get(c).share(), cells.cells().get(c).reserved() ? ", reserved" : "",
+                    part.connections(), part.requests(), own.isEmpty() ? "" : ": " + own);
+        }
+        cells.moves().forEach(m -> line("  move %-11s %s to %s at %s, over %s, fence %s", m.name(), m.label(),
+                cells.cells().get(m.to()).name(), Instant.EPOCH.plus(m.startMicros(), ChronoUnit.MICROS),
+                time(m.overMicros()), time(m.fenceMicros())));
+        if (cells.quarantine() != null) {
+            line("  quarantine       cell %s, from %.0f%% of a sick cell, for %s",
+                    cells.cells().get(cells.quarantine().cell()).name(), 100 * cells.quarantine().share(),
+                    time(cells.quarantine().forMicros()));
+        }
+    }
+
+    /** Where the unit of a request is at home, with servers in all cells and before any move of it. */
+    private void cell(Target target, String path, Map<String, String> headers) {
+        CellsPlan cells = operators.plan().pools().stream().filter(p -> p.name().equals(target.pool()))
+                .findFirst().orElseThrow().cells();
+        if (cells == null) {
+            return;
+        }
+        String unit = switch (cells.unit()) {
+            case KEY -> path.substring(path.lastIndexOf('/') + 1);
+            case TENANT -> headers.getOrDefault("tenant", "");
+            case HEADER -> headers.getOrDefault(cells.header(), "");
+        };
+        BitSet open = new BitSet();
+        open.set(0, cells.cells().size());
+        int home = new Placement(cells.cells(), cells.assigned(), open).home(Ids.of(unit));
+        line("unit '%s' is at home in cell '%s' %s", unit, cells.cells().get(home).name(),
+                cells.assigned().containsKey(Ids.of(unit)) ? "by 'assign'" : "by its hash");
+        cells.moves().stream().filter(m -> m.unit() == Ids.of(unit)).forEach(m -> line(
+                "and moved to cell '%s' by '%s'", cells.cells().get(m.to()).name(), m.name()));
     }
 
     private void pool(OperatorsFile.PoolSection section, LimitKey key, Object value) {
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -112,7 +112,8 @@
             Setting<Long> queue = pool.limits().number(LimitKey.MAX_QUEUE);
             pools.add(new PoolPlan(pool.name(), pool.servers(),
                     share(pool, LimitKey.MAX_CONNECTIONS, facts.serverConnections()), requests,
-                    queue == null ? Integer.MAX_VALUE : queue.value().intValue(), tunnels(pool)));
+                    queue == null ? Integer.MAX_VALUE : queue.value().intValue(), tunnels(pool),
+                    pool.cells() == null ? null : CellsChecks.complete(pool, file, facts)));
         }
         return pools;
     }
--- a/src/main/java/larkbank/operators/OperatorsFile.java
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import larkbank.cell.CellsPlan;
 import larkbank.route.Match;
 import larkbank.route.StaticServer;
 import larkbank.route.WebSocketLimits;
@@ -15,7 +16,14 @@
 
     /** Servers are null where discovery tells them; groups are the lines of their entries. */
     record PoolSection(String name, int line, List<StaticServer> servers, LimitSet limits,
-            TunnelSet tunnels) { }
+            TunnelSet tunnels, CellsSection cells) { }
+
+    /** How a pool is parted, without what its routes' classes add; the lines are by key or move. */
+    record CellsSection(CellsPlan plan, Map<String, Integer> lines) {
+        int line(String of) {
+            return lines.get(of);
+        }
+    }
 
     /** What a pool says of connections that stay; null where it does not. */
     record TunnelSet(Long most, Long perServer, long rate) { }
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import larkbank.Addresses;
+import larkbank.operators.OperatorsFile.CellsSection;
 import larkbank.operators.OperatorsFile.ClassSection;
 import larkbank.operators.OperatorsFile.ListenerSection;
 import larkbank.operators.OperatorsFile.PoolSection;
@@ -43,7 +44,7 @@
             + "|request-id|tenant|request-timeout-ms|idempotency-key";
     private static final Set<String> SOURCES = Set.of("discovery", "static");
     private static final Set<String> METHODS = Set.of("GET", "POST");
-    private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
+    static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
 
     private final Facts facts;
     private final Problems problems;
@@ -125,8 +126,10 @@
         TunnelSet tunnels = new TunnelSet(section.count("max_tunnels", 1, MOST_TUNNELS),
                 section.count("max_tunnels_per_server", 1, MOST_TUNNELS),
                 section.count("upgrade_rate", 1, 100_000, 500));
+        Section cells = section.table("cells");
+        CellsSection parted = cells == null ? null : new CellsReader(facts, cells).read();
         section.rejectUnknown();
-        return new PoolSection(name(section), section.line(), servers, limits, tunnels);
+        return new PoolSection(name(section), section.line(), servers, limits, tunnels, parted);
     }
 
     private List<StaticServer> servers(Section pool) {
--- a/src/main/java/larkbank/operators/Section.java
+++ b/src/main/java/larkbank/operators/Section.java
@@ -1,5 +1,8 @@
 package larkbank.operators;
 
+import java.time.Instant;
+import java.time.OffsetDateTime;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -151,6 +154,13 @@
         return time == null ? otherwise : time;
     }
 
+    /** A moment with its distance from UTC, in microseconds of Unix time, or null. */
+    Long moment(String key) {
+        OffsetDateTime moment = value(key, OffsetDateTime.class,
+                "a moment such as 2026-12-24T18:00:00Z, without quotes");
+        return moment == null ? null : ChronoUnit.MICROS.between(Instant.EPOCH, moment.toInstant());
+    }
+
     /** A list of texts, or null. */
     List<String> texts(String key) {
         TomlArray array = value(key, TomlArray.class, "a list of texts");
@@ -179,9 +189,10 @@
             TomlPosition at = all.inputPositionOf(List.of(name));
             int where = at == null ? lineOf(key) : at.line();
             if (all.get(List.of(name)) instanceof TomlTable t) {
-                sections.add(new Section(t, key + "." + name, where, problems));
+                sections.add(new Section(t, path(key) + "." + name, where, problems));
             } else {
-                problems.add(where, "'" + key + "." + name + "' must be a table [" + key + "." + name + "]");
+                problems.add(where, "'" + path(key) + "." + name + "' must be a table ["
+                        + path(key) + "." + name + "]");
             }
         }
         return sections;
--- a/src/main/java/larkbank/route/PoolPlan.java
+++ b/src/main/java/larkbank/route/PoolPlan.java
@@ -1,6 +1,7 @@
 package larkbank.route;
 
 import java.util.List;
+import larkbank.cell.CellsPlan;
 
 /**
  * What a pool is made of: one decision module and its connections.
@@ -10,9 +11,10 @@
  * @param requests in hand, at most
  * @param queue of them without a server, at most
  * @param tunnels connections that have gone over to another protocol
+ * @param cells how it is parted into cells, with a module each; null for one module
  */
 public record PoolPlan(String name, List<StaticServer> servers, int connections, int requests, int queue,
-        Tunnelled tunnels) {
+        Tunnelled tunnels, CellsPlan cells) {
 
     /**
      * What the pool takes of connections that stay.
@@ -23,6 +25,12 @@
      */
     public record Tunnelled(int most, int perServer, int rate) { }
 
+    /** What one of the cells has of it. */
+    public PoolPlan ofCell(int cell) {
+        return new PoolPlan(name + "/" + cells.cells().get(cell).name(), servers,
+                cells.part(cell, connections), cells.part(cell, requests), cells.part(cell, queue),
+                new Tunnelled(cells.part(cell, tunnels.most()), tunnels.perServer(), tunnels.rate()), null);
+    }
 
     /** Whether discovery tells its servers. */
     public boolean discovered() {
--- a/src/main/java/larkbank/route/StaticServer.java
+++ b/src/main/java/larkbank/route/StaticServer.java
@@ -1,6 +1,10 @@
 package larkbank.route;
 
 import java.net.InetSocketAddress;
+import java.util.List;
+import larkbank.Ids;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
 
 /**
  * A server that the file names.
@@ -12,4 +16,11 @@
  * @param weight its capacity, 1 being usual
  */
 public record StaticServer(String id, InetSocketAddress endpoint, String zone, String model, int cell,
-        double weight) { }
+        double weight) {
+
+    /** Its line on a list; zones and models are numbered as in the settings, -1 for none. */
+    public Server line(List<String> zones, List<String> models) {
+        return new Server(Ids.of(id), zone == null ? -1 : zones.indexOf(zone),
+                model == null ? -1 : models.indexOf(model), cell, Phase.READY, 0, weight);
+    }
+}
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
+import larkbank.cell.Cells;
 
 /** A client's request, from its last byte until it is answered and its attempts have ended. */
 final class Call {
@@ -34,8 +35,16 @@
     }
 
     final Request request;
-    /** The one that it was given to, also where its route leads elsewhere by now. */
-    final Pool pool;
+    /** What its route led to when it came. */
+    final Cluster cluster;
+    /** The one that has it, also where its route leads elsewhere by now; null until one does. */
+    Pool pool;
+    /** Null where nobody wants to know how it ends. */
+    Watch watch;
+    /** What it was let into a cell with; null elsewhere. */
+    Cells.Ticket ticket;
+    /** Its client has a server's answer, or its upgrade was agreed to. */
+    boolean served;
     /** What it asks to go over to; null for a plain request. */
     final Upgrade upgrade;
     final HttpMethod method;
@@ -58,7 +67,7 @@
 
     Call(Request request, Way way, HttpMethod method, HttpHeaders headers, byte[] body, Client client) {
         this.request = request;
-        pool = way.pool();
+        cluster = way.cluster();
         upgrade = way.upgrade();
         uri = way.uri();
         timeoutMicros = way.timeoutMicros();
@@ -68,6 +77,15 @@
         this.client = client;
     }
 
+    /** Wants to know how requests end. */
+    interface Watch {
+        /** Its client has its answer, or has left. */
+        void answered(Call call);
+
+        /** Nothing of it is out any more. */
+        void ended(Call call);
+    }
+
     /** A server's own word on an upgrade. */
     record Declined(HttpResponseStatus status, HttpHeaders headers, byte[] content) { }
 
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Cluster.java
@@ -0,0 +1,46 @@
+package larkbank.sidecar;
+
+import larkbank.LoadBalancer.ListKind;
+import larkbank.route.PoolPlan;
+
+/** The servers of some routes: a pool, or cells with a pool each. */
+interface Cluster {
+
+    /** Whether any server is in service. */
+    boolean ready();
+
+    int knownServers();
+
+    /** Bytes that wait to be written to servers. */
+    long waitingBytes();
+
+    /** The servers as last told, those that are not gone. */
+    ServerList list();
+
+    /** Takes a request that is in hand from now on. */
+    void take(Call call);
+
+    /** The client of a request has left. */
+    void left(Call call);
+
+    void listed(ListKind kind, ServerList list);
+
+    /** Discovery can't be reached. */
+    void failed();
+
+    /** Whether another plan can be taken over with what has been learned. */
+    boolean fits(PoolPlan plan);
+
+    /** Other limits hold from now on; what is in hand or open stays. */
+    void limit(PoolPlan plan);
+
+    /**
+     * Ends it: its servers are told as gone, so that nothing new goes to them past the drain grace, and what
+     * has been sent may still be answered.
+     *
+     * @param ended run once all requests are forgotten and all connections closed
+     */
+    void retire(Runnable ended);
+
+    void close();
+}
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -47,7 +47,7 @@
     boolean ready();
 
     /** The pools whose servers discovery tells. */
-    Collection<Pool> discovered();
+    Collection<Cluster> discovered();
 
     /** Reads again what it was made of; to be called off the loop. */
     Change reread() throws IOException;
--- a/src/main/java/larkbank/sidecar/ListFeed.java
+++ b/src/main/java/larkbank/sidecar/ListFeed.java
@@ -42,7 +42,7 @@
 
     /** Discovery can't be reached. */
     void failed() {
-        step(() -> layout.discovered().forEach(Pool::failed));
+        step(() -> layout.discovered().forEach(Cluster::failed));
     }
 
     private void hand(ListKind kind, ServerList list) {
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import larkbank.LoadBalancer.ListKind;
-import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
 import larkbank.operators.BadFile;
@@ -32,7 +31,7 @@
     private final Path file;
     private final Map<String, Member> pools = new LinkedHashMap<>();
     /** Pools of an earlier file whose last requests are still in hand. */
-    private final Set<Pool> going = new HashSet<>();
+    private final Set<Cluster> going = new HashSet<>();
     /** By the address as the file has it, whose port may be 0. */
     private final Map<InetSocketAddress, ClientServer.Door> doors = new LinkedHashMap<>();
     private Plan plan;
@@ -40,7 +39,7 @@
     /** Made once a route has WebSockets, and kept from then on. */
     private WebSocketUpgrades upgrades;
 
-    private record Member(Pool pool, boolean discovered) { }
+    private record Member(Cluster cluster, boolean discovered) { }
 
     private OperatorsLayout(Parts parts, Path file, Plan plan) {
         this.parts = parts;
@@ -66,18 +65,22 @@
     }
 
     private Member create(PoolPlan p) {
+        Cluster made = p.cells() == null ? pool(p) : new CelledPool(parts.shared(),
+                parts.config().settings().classes(), p, this::pool);
+        return new Member(made, p.discovered());
+    }
+
+    private Pool pool(PoolPlan p) {
         Config config = parts.config();
         Settings settings = config.settings().with(
                 config.settings().limits().with(p.requests(), p.queue(), p.connections()),
                 p.discovered() && config.settings().discoveryOnAsk());
-        return new Member(new Pool(parts.shared(), config, settings, p.connections(), p.tunnels(),
-                parts.modules()),
-                p.discovered());
+        return new Pool(parts.shared(), config, settings, p.connections(), p.tunnels(), parts.modules());
     }
 
     private OperatorsRouting route(Plan next) {
-        Map<String, Pool> byName = new LinkedHashMap<>();
-        pools.forEach((name, member) -> byName.put(name, member.pool()));
+        Map<String, Cluster> byName = new LinkedHashMap<>();
+        pools.forEach((name, member) -> byName.put(name, member.cluster()));
         if (next.webSockets() && upgrades == null) {
             upgrades = new WebSocketUpgrades(parts.shared().loop(), parts.shared().clock(),
                     parts.config().settings().seed(), parts.config().clientConnections() / 2);
@@ -109,10 +112,10 @@
 
     @Override
     public void open() {
-        plan.pools().forEach(p -> begin(p, pools.get(p.name()).pool(), parts.config().known()));
+        plan.pools().forEach(p -> begin(p, pools.get(p.name()).cluster(), parts.config().known()));
     }
 
-    private void begin(PoolPlan p, Pool pool, ServerList known) {
+    private void begin(PoolPlan p, Cluster pool, ServerList known) {
         if (p.discovered()) {
             pool.listed(ListKind.CACHED, known);
         } else {
@@ -124,17 +127,12 @@
         ServerList.Reader lists = parts.config().lists();
         List<ServerList.Entry> entries = new ArrayList<>();
         for (StaticServer s : p.servers()) {
-            Server line = new Server(Ids.of(s.id()), number(lists.zones(), s.zone()),
-                    number(lists.models(), s.model()), s.cell(), Phase.READY, 0, s.weight());
+            Server line = s.line(lists.zones(), lists.models());
             entries.add(new ServerList.Entry(line, s.endpoint()));
         }
         return new ServerList(0, true, entries);
     }
 
-    private static int number(List<String> names, String name) {
-        return name == null ? -1 : names.indexOf(name);
-    }
-
     @Override
     public CompletableFuture<InetSocketAddress> listen() {
         return doors(plan.listeners()).thenApply(opened -> {
@@ -169,17 +167,17 @@
 
     @Override
     public boolean ready() {
-        return pools.values().stream().anyMatch(m -> m.pool().ready());
+        return pools.values().stream().anyMatch(m -> m.cluster().ready());
     }
 
     @Override
     public long waitingBytes() {
-        return pools.values().stream().mapToLong(m -> m.pool().waitingBytes()).sum();
+        return pools.values().stream().mapToLong(m -> m.cluster().waitingBytes()).sum();
     }
 
     @Override
-    public Collection<Pool> discovered() {
-        return pools.values().stream().filter(Member::discovered).map(Member::pool).toList();
+    public Collection<Cluster> discovered() {
+        return pools.values().stream().filter(Member::discovered).map(Member::cluster).toList();
     }
 
     @Override
@@ -199,27 +197,27 @@
     }
 
     private void swap(Plan next) {
-        ServerList known = discovered().stream().findFirst().map(Pool::list)
+        ServerList known = discovered().stream().findFirst().map(Cluster::list)
                 .orElse(parts.config().known());
         Map<String, Member> before = new LinkedHashMap<>(pools);
         pools.clear();
         for (PoolPlan p : next.pools()) {
             Member member = before.get(p.name());
-            if (member != null && member.discovered() == p.discovered()) {
+            if (member != null && member.discovered() == p.discovered() && member.cluster().fits(p)) {
                 before.remove(p.name());
                 pools.put(p.name(), member);
-                member.pool().limit(p.connections(), p.requests(), p.queue(), p.tunnels());
+                member.cluster().limit(p);
                 if (!p.discovered()) {
-                    member.pool().listed(ListKind.COMPLETE, list(p));
+                    member.cluster().listed(ListKind.COMPLETE, list(p));
                 }
             } else {
                 pools.put(p.name(), create(p));
-                begin(p, pools.get(p.name()).pool(), known);
+                begin(p, pools.get(p.name()).cluster(), known);
             }
         }
         plan = next;
         routing = route(next);
-        before.values().forEach(member -> retire(member.pool()));
+        before.values().forEach(member -> retire(member.cluster()));
         Set<InetSocketAddress> kept = new HashSet<>();
         next.listeners().forEach(l -> kept.add(l.address()));
         for (InetSocketAddress address : List.copyOf(doors.keySet())) {
@@ -230,7 +228,7 @@
     }
 
     /** Requests that it has taken may still go out within the grace that a drain gives. */
-    private void retire(Pool pool) {
+    private void retire(Cluster pool) {
         going.add(pool);
         parts.shared().loop().schedule(() -> pool.retire(() -> going.remove(pool)),
                 parts.config().drainGraceMicros(), TimeUnit.MICROSECONDS);
@@ -238,7 +236,7 @@
 
     @Override
     public void close() {
-        pools.values().forEach(m -> m.pool().close());
-        going.forEach(Pool::close);
+        pools.values().forEach(m -> m.cluster().close());
+        going.forEach(Cluster::close);
     }
 }
--- a/src/main/java/larkbank/sidecar/OperatorsRouting.java
+++ b/src/main/java/larkbank/sidecar/OperatorsRouting.java
@@ -20,11 +20,11 @@
 final class OperatorsRouting {
 
     private final Router<Target> router;
-    private final Map<String, Pool> pools;
+    private final Map<String, Cluster> pools;
     /** Null where no route has any. */
     private final WebSocketUpgrades upgrades;
 
-    OperatorsRouting(Router<Target> router, Map<String, Pool> pools, WebSocketUpgrades upgrades) {
+    OperatorsRouting(Router<Target> router, Map<String, Cluster> pools, WebSocketUpgrades upgrades) {
         this.upgrades = upgrades;
         this.router = router;
         this.pools = pools;
--- a/src/main/java/larkbank/sidecar/PlainLayout.java
+++ b/src/main/java/larkbank/sidecar/PlainLayout.java
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public Collection<Pool> discovered() {
+    public Collection<Cluster> discovered() {
         return List.of(pool);
     }
 
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -27,7 +27,7 @@
  * One decision module with its servers. It turns what happens to requests into the module's events and the
  * module's actions into what happens on connections, and decides nothing.
  */
-final class Pool implements Actions, ServerPool.Listener {
+final class Pool implements Cluster, Actions, ServerPool.Listener {
 
     /** The module ends its requests at their deadline; past this much more the pool does. */
     private static final long OVERDUE_MICROS = 5_000;
@@ -72,25 +72,29 @@
         servers = new ServerPool(loop, clock, config, connections, tunnels, this);
     }
 
-    /** Whether any server is in service. */
-    boolean ready() {
+    @Override
+    public boolean ready() {
         return servers.anyReady();
     }
 
-    int knownServers() {
+    @Override
+    public int knownServers() {
         return servers.size();
     }
 
-    long waitingBytes() {
+    @Override
+    public long waitingBytes() {
         return servers.waitingBytes();
     }
 
-    ServerList list() {
+    @Override
+    public ServerList list() {
         return servers.list();
     }
 
-    /** Takes a request that is in hand from now on. */
-    void take(Call call) {
+    @Override
+    public void take(Call call) {
+        call.pool = this;
         calls++;
         long now = clock.micros();
         call.expiry = loop.schedule(() -> abort(call, HttpResponseStatus.GATEWAY_TIMEOUT),
@@ -129,8 +133,8 @@
         }
     }
 
-    /** The client of a request has left. */
-    void left(Call call) {
+    @Override
+    public void left(Call call) {
         if (call.upgrade != null) {
             call.upgrade.left();
         }
@@ -138,29 +142,30 @@
         tell(null, now -> module.clientLeft(now, call.request.id()));
     }
 
-    void listed(ListKind kind, ServerList list) {
+    @Override
+    public void listed(ListKind kind, ServerList list) {
         servers.update(list);
         tell(null, now -> module.servers(now, kind, list.servers()));
     }
 
-    /** Discovery can't be reached. */
-    void failed() {
+    @Override
+    public void failed() {
         tell(null, now -> module.servers(now, ListKind.FAILED, List.of()));
     }
 
-    /** Other limits hold from now on; what is in hand or open stays. */
-    void limit(int connections, int requests, int queue, PoolPlan.Tunnelled tunnels) {
-        servers.limit(connections, tunnels);
-        tell(null, now -> module.limits(now, requests, queue, connections));
+    @Override
+    public boolean fits(PoolPlan plan) {
+        return plan.cells() == null;
     }
 
-    /**
-     * Ends the pool: its servers are told as gone, so that nothing new goes to them past the drain grace, and
-     * what has been sent may still be answered.
-     *
-     * @param ended run once all requests are forgotten and all connections closed
-     */
-    void retire(Runnable ended) {
+    @Override
+    public void limit(PoolPlan plan) {
+        servers.limit(plan.connections(), plan.tunnels());
+        tell(null, now -> module.limits(now, plan.requests(), plan.queue(), plan.connections()));
+    }
+
+    @Override
+    public void retire(Runnable ended) {
         emptied = () -> {
             close();
             ended.run();
@@ -170,7 +175,8 @@
         runIfEmpty();
     }
 
-    void close() {
+    @Override
+    public void close() {
         servers.close();
     }
 
@@ -218,6 +224,7 @@
             HttpHeaders headers = Headers.endToEnd(answer.headers());
             headers.remove(Headers.LOAD);
             Call.Client client = call.client;
+            call.served = true;
             over(call);
             client.answer(HttpResponseStatus.OK, headers, answer.content().retain());
         }
@@ -233,6 +240,7 @@
             return;
         }
         Call.Client client = call.client;
+        call.served = true;
         over(call);
         Upgrade.End clientEnd = client.goOver(answer);
         if (clientEnd == null) {
@@ -359,6 +367,9 @@
         call.over = true;
         call.expiry.cancel(false);
         inHand.over(call);
+        if (call.watch != null) {
+            call.watch.answered(call);
+        }
         forget(call);
     }
 
@@ -367,6 +378,9 @@
             call.forgotten = true;
             inHand.remove(call);
             calls--;
+            if (call.watch != null) {
+                call.watch.ended(call);
+            }
             runIfEmpty();
         }
     }
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import larkbank.Ids;
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Settings;
--- a/src/main/java/larkbank/sidecar/ServerList.java
+++ b/src/main/java/larkbank/sidecar/ServerList.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import larkbank.Addresses;
+import larkbank.Ids;
 import larkbank.Json;
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.Server;
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -188,7 +188,7 @@
 
     /** Servers that some pool with discovery knows. */
     int knownServers() {
-        return layout.discovered().stream().mapToInt(Pool::knownServers).max().orElse(0);
+        return layout.discovered().stream().mapToInt(Cluster::knownServers).max().orElse(0);
     }
 
     /** Bytes that wait to be written to clients and servers. */
@@ -250,14 +250,14 @@
             client.upgrading();
             call.upgrade.taken(call);
         }
-        call.pool.take(call);
+        call.cluster.take(call);
     }
 
     @Override
     public void left(Call.Client client) {
         Call call = inHand.of(client);
         if (call != null) {
-            call.pool.left(call);
+            call.cluster.left(call);
         }
     }
 
--- a/src/main/java/larkbank/sidecar/Way.java
+++ b/src/main/java/larkbank/sidecar/Way.java
@@ -11,5 +11,5 @@
  * @param timeoutMicros the longest that it may take, whatever its client says
  * @param upgrade the upgrade that it asks for; null for a plain request
  */
-record Way(Pool pool, int requestClass, String uri, String host, long timeoutMicros, Terms terms,
+record Way(Cluster cluster, int requestClass, String uri, String host, long timeoutMicros, Terms terms,
         Upgrade upgrade) { }
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/CellsLoopbackTest.java
@@ -0,0 +1,396 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import larkbank.Ids;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
+import larkbank.cell.Cell;
+import larkbank.cell.CellsPlan.Spread;
+import larkbank.cell.Parting;
+import larkbank.cell.Placement;
+import larkbank.testkit.CellPlans;
+import larkbank.testkit.Http;
+import larkbank.testkit.Stub;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Cells between real sockets: harm stays in one, and moves neither lose nor double anything. */
+@Timeout(60)
+class CellsLoopbackTest extends Loopback {
+
+    private static final List<Cell> CELLS = CellPlans.cells(3);
+    private static final String NAMES = "names = [\"c0\", \"c1\", \"c2\"]\nby = \"header:X-Account\"\n";
+
+    private Harness harness;
+    private final List<Stub> servers = new ArrayList<>();
+    /** What the servers of some tests have been sent. */
+    private final BlockingQueue<Stub.Seen> arrived = new LinkedBlockingQueue<>();
+
+    private static String accountOf(int cell, int skip) {
+        BitSet open = new BitSet();
+        open.set(0, 3);
+        Placement placement = new Placement(CELLS, Map.of(), open);
+        for (int i = 0;; i++) {
+            if (placement.home(Ids.of("a" + i)) == cell && skip-- == 0) {
+                return "a" + i;
+            }
+        }
+    }
+
+    /** The servers of a cell, by the same deal as the sidecar's. */
+    private List<Stub> ofCell(int cell) {
+        Parting parting = new Parting(CELLS, Spread.SERVER, 0);
+        Map<Long, Stub> byId = new HashMap<>();
+        servers.forEach(s -> byId.put(Ids.of("s-" + s.port()), s));
+        parting.listed(0, ListKind.COMPLETE, byId.keySet().stream()
+                .map(id -> new Server(id, 0, 0, 0, Phase.READY, 0, 1)).toList());
+        return byId.entrySet().stream().filter(e -> parting.cellOf(e.getKey()) == cell)
+                .map(Map.Entry::getValue).toList();
+    }
+
+    private String file(String cells) {
+        StringBuilder text = new StringBuilder("version = 1\n[pools.p]\nsource = \"static\"\nservers = [\n");
+        for (Stub s : servers) {
+            text.append("  { id = \"s-").append(s.port()).append("\", endpoint = \"127.0.0.1:")
+                    .append(s.port()).append("\", zone = \"a\" },\n");
+        }
+        text.append("]\n[pools.p.cells]\n").append(NAMES).append(cells);
+        for (String c : List.of("search", "hold", "book")) {
+            text.append("[routes.").append(c).append("]\npath = \"/").append(c).append("/*\"\nclass = \"")
+                    .append(c).append("\"\npool = \"p\"\n");
+        }
+        return text.toString();
+    }
+
+    private void sidecar(int count, Stub.Script script, String cells) throws Exception {
+        for (int i = 0; i < count; i++) {
+            servers.add(server(script));
+        }
+        harness = new Harness(folder);
+        open.add(harness);
+        harness.startWith(file(cells));
+    }
+
+    private static String search(String account) {
+        return Harness.Client.head("GET", "/search/k1", 2_000, "X-Account: " + account + "\r\n", 0);
+    }
+
+    private static String book(String account, String body) {
+        return Harness.Client.head("POST", "/book/k1", 3_000, "X-Account: " + account + "\r\n", body.length())
+                + body;
+    }
+
+    private static String move(String account, int to, String more) {
+        return "[pools.p.cells.moves.m]\nunit = \"" + account + "\"\nto = \"c" + to + "\"\nstart = "
+                + Instant.now().minusSeconds(1) + "\n" + more;
+    }
+
+    private Stub.Seen first() throws InterruptedException {
+        Stub.Seen seen = arrived.poll(10, TimeUnit.SECONDS);
+        assertTrue(seen != null, "no request came");
+        return seen;
+    }
+
+    @Test
+    void eachUnitMeetsOnlyTheServersOfItsCell() throws Exception {
+        sidecar(9, Stub.serves("ok"), "");
+        for (int cell = 0; cell < 3; cell++) {
+            for (int i = 0; i < 12; i++) {
+                String account = accountOf(cell, i % 4);
+                assertEquals(200, harness.client().raw(search(account)).answer().status());
+                assertEquals(200, harness.client().raw(book(account, "x")).answer().status());
+            }
+        }
+        Map<Stub, Integer> cellOf = new HashMap<>();
+        for (int cell = 0; cell < 3; cell++) {
+            int c = cell;
+            assertEquals(3, ofCell(cell).size());
+            ofCell(cell).forEach(s -> cellOf.put(s, c));
+        }
+        int seen = 0;
+        for (Stub s : servers) {
+            for (Stub.Seen request : s.seen) {
+                String account = request.request().headers().get("X-Account");
+                assertTrue(List.of(accountOf(cellOf.get(s), 0), accountOf(cellOf.get(s), 1),
+                        accountOf(cellOf.get(s), 2), accountOf(cellOf.get(s), 3)).contains(account));
+                seen++;
+            }
+        }
+        assertEquals(72, seen);
+    }
+
+    /** All servers of one cell hang: the others serve as if nothing were, and nothing of it reaches them. */
+    @Test
+    void aCellWhoseServersAllHangHarmsNoOther() throws Exception {
+        sidecar(9, Stub.serves("ok"), "");
+        CountDownLatch release = new CountDownLatch(1);
+        for (Stub s : ofCell(0)) {
+            s.script(seen -> {
+                await(release);
+                seen.reply("200 OK", "", "late");
+            });
+        }
+        // Far more than a module would hold back if all cells had one between them.
+        List<Harness.Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            waiting.add(harness.client().raw(book(accountOf(0, i % 3), "h" + i)));
+        }
+        for (Stub s : ofCell(0)) {
+            s.take();
+        }
+        long worst = 0;
+        for (int i = 0; i < 200; i++) {
+            long began = System.nanoTime();
+            String account = accountOf(1 + i % 2, i % 5);
+            Http.Message answer = harness.client().raw(i % 3 == 0 ? book(account, "b" + i) : search(account))
+                    .answer();
+            assertEquals(200, answer.status());
+            assertEquals("ok", answer.body());
+            worst = Math.max(worst, System.nanoTime() - began);
+        }
+        assertTrue(worst < 2_000_000_000L, "waited " + worst / 1_000_000 + " ms");
+        release.countDown();
+        int served = 0;
+        for (Harness.Client client : waiting) {
+            int status = client.answer().status();
+            assertTrue(status == 200 || status == 503 || status == 502 || status == 504, "status " + status);
+            served += status == 200 ? 1 : 0;
+        }
+        assertTrue(served > 0);
+        for (int cell = 1; cell < 3; cell++) {
+            for (Stub s : ofCell(cell)) {
+                assertTrue(s.seen.stream().noneMatch(r -> r.request().body().startsWith("h")),
+                        "harm reached another cell");
+            }
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            if (!latch.await(20, TimeUnit.SECONDS)) {
+                throw new IOException("never released");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
+    /**
+     * The heaviest account moves there and back under load, with a fence: each book and each keyed hold is
+     * answered once and has run once, and the others notice nothing.
+     */
+    @Test
+    void theHeaviestAccountMovesUnderLoad() throws Exception {
+        Map<String, Integer> runs = new ConcurrentHashMap<>();
+        Stub.Script script = seen -> {
+            arrived.add(seen);
+            runs.merge(seen.request().body(), 1, Integer::sum);
+            seen.reply("200 OK", "", seen.request().body());
+        };
+        sidecar(9, script, "");
+        String heavy = accountOf(0, 0);
+        AtomicBoolean stop = new AtomicBoolean();
+        AtomicInteger asked = new AtomicInteger();
+        ExecutorService pool = Executors.newFixedThreadPool(8);
+        open.add(pool::shutdownNow);
+        List<Future<Integer>> clients = new ArrayList<>();
+        for (int t = 0; t < 8; t++) {
+            int thread = t;
+            Callable<Integer> client = () -> {
+                HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+                int answered = 0;
+                while (!stop.get()) {
+                    String body = "w" + thread + "-" + answered;
+                    String account = thread < 6 ? heavy : accountOf(1 + thread % 2, 0);
+                    boolean keyed = answered % 3 == 1;
+                    HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                            + harness.address.getPort() + (keyed ? "/hold/k1" : "/book/k1")))
+                            .header("Request-Id", Harness.Client.id()).header("Tenant", "acme")
+                            .header("Request-Timeout-Ms", "3000").header("X-Account", account)
+                            .POST(HttpRequest.BodyPublishers.ofString(body));
+                    if (keyed) {
+                        request.header("Idempotency-Key", body);
+                    }
+                    asked.incrementAndGet();
+                    HttpResponse<String> answer = http.send(request.build(),
+                            HttpResponse.BodyHandlers.ofString());
+                    assertEquals(200, answer.statusCode());
+                    assertEquals(body, answer.body());
+                    answered++;
+                }
+                return answered;
+            };
+            clients.add(pool.submit(client));
+        }
+        harness.reload(file(move(heavy, 1, "fence = \"500ms\"\n")));
+        harness.log.await("writes go to cell c1 from now on");
+        awaitSeen(1, heavy);
+        harness.reload(file(move(heavy, 2, "")));
+        harness.log.await("writes go to cell c2 from now on");
+        awaitSeen(2, heavy);
+        harness.reload(file(""));
+        awaitSeen(0, heavy);
+        stop.set(true);
+        int answered = 0;
+        for (Future<Integer> client : clients) {
+            answered += client.get(20, TimeUnit.SECONDS);
+        }
+        assertEquals(asked.get(), answered);
+        assertEquals(answered, runs.size());
+        assertTrue(runs.values().stream().allMatch(n -> n == 1), "something ran twice");
+    }
+
+    /** Waits until a server of the cell has met the account, in a request that came after this call. */
+    private void awaitSeen(int cell, String account) throws InterruptedException {
+        List<Integer> ports = ofCell(cell).stream().map(Stub::port).toList();
+        arrived.clear();
+        for (Stub.Seen seen; (seen = arrived.poll(20, TimeUnit.SECONDS)) != null;) {
+            if (ports.contains(seen.socket().getLocalPort())
+                    && account.equals(seen.request().headers().get("X-Account"))) {
+                return;
+            }
+        }
+        throw new AssertionError("never seen: " + account);
+    }
+
+    /** A write in hand at the old cell holds the next one back, until it ends; then both have run once. */
+    @Test
+    void theFenceHoldsOnRealSockets() throws Exception {
+        String account = accountOf(0, 0);
+        sidecar(6, arrived::add, "");
+        Harness.Client first = harness.client().raw(book(account, "first"));
+        Stub.Seen running = first();
+        harness.reload(file(move(account, 1, "fence = \"750ms\"\n")));
+        // The process can't know of writes before the move was ordered until they must have ended.
+        for (Stub s : ofCell(0)) {
+            s.script(Stub.serves("old"));
+        }
+        for (Stub s : ofCell(1)) {
+            s.script(Stub.serves("new"));
+        }
+        assertEquals("old", harness.client().raw(book(account, "second")).answer().body());
+        running.reply("200 OK", "", "first");
+        assertEquals("first", first.answer().body());
+        harness.log.await("writes go to cell c1 from now on");
+        assertEquals("new", harness.client().raw(book(account, "third")).answer().body());
+        assertEquals("new", harness.client().raw(search(account)).answer().body());
+    }
+
+    /** A server that leaves keeps its place; past that time others fill the hole, and nothing is lost. */
+    @Test
+    void serversThatChangeCellsServeOn() throws Exception {
+        sidecar(9, Stub.serves("ok"), "keep_places = \"0ms\"\n");
+        Stub gone = ofCell(0).get(0);
+        List<Stub> before = ofCell(0);
+        servers.remove(gone);
+        harness.reload(file("keep_places = \"0ms\"\n"));
+        servers.add(server(Stub.serves("ok")));
+        servers.add(server(Stub.serves("ok")));
+        servers.add(server(Stub.serves("ok")));
+        harness.reload(file("keep_places = \"0ms\"\n"));
+        for (int i = 0; i < 60; i++) {
+            assertEquals(200, harness.client().raw(book(accountOf(i % 3, i % 7), "x" + i)).answer().status());
+        }
+        assertTrue(gone.seen.isEmpty());
+        assertFalse(ofCell(0).equals(before));
+        Set<Stub> all = new HashSet<>();
+        for (int c = 0; c < 3; c++) {
+            for (Stub s : ofCell(c)) {
+                assertTrue(all.add(s));
+                for (Stub.Seen seen : s.seen) {
+                    String account = seen.request().headers().get("X-Account");
+                    int cell = c;
+                    assertTrue(IntStream.range(0, 7).anyMatch(k -> accountOf(cell, k)
+                            .equals(account)), account + " at cell " + c);
+                }
+            }
+        }
+        assertEquals(11, all.size());
+    }
+
+    /** Another number of cells, and cells taken away by a reload: requests in hand finish where they are. */
+    @Test
+    void cellsComeAndGoUnderARequest() throws Exception {
+        sidecar(8, arrived::add, "");
+        Harness.Client client = harness.client().raw(book(accountOf(2, 0), "kept"));
+        Stub.Seen running = first();
+        harness.reload(file("").replace("\"c2\"]", "\"c2\", \"c3\"]"));
+        harness.reload(file("").replace("[\"c0\", ", "["));
+        harness.reload(file("").replace("[pools.p.cells]\n" + NAMES, ""));
+        servers.forEach(s -> s.script(Stub.serves("plain")));
+        assertEquals("plain", harness.client().raw(search("any")).answer().body());
+        running.reply("200 OK", "", "kept");
+        assertEquals("kept", client.answer().body());
+    }
+
+    @Test
+    void aBadReloadLeavesCellsAlone() throws Exception {
+        sidecar(6, Stub.serves("ok"), "");
+        harness.reload(file("guests = 0.9\n"));
+        assertTrue(harness.log.toString().contains("'guests' must be a number from 0.0 to 0.5"));
+        assertEquals(200, harness.client().raw(search(accountOf(1, 0))).answer().status());
+    }
+
+    /** SIGTERM with a request held by a fence: it is answered before the process ends. */
+    @Test
+    void whatIsHeldIsAnsweredBeforeTheEnd() throws Exception {
+        String account = accountOf(0, 0);
+        sidecar(6, arrived::add, "");
+        harness.client().raw(book(account, "running"));
+        Stub.Seen running = first();
+        harness.reload(file(move(account, 1, "fence = \"750ms\"\n")));
+        Harness.Client second = harness.client().raw(book(account, "second"));
+        CountDownLatch ended = harness.stop();
+        servers.forEach(s -> s.script(Stub.serves("ok")));
+        for (Stub s : servers) {
+            s.seen.forEach(seen -> {
+                if (seen.request().body().equals("second")) {
+                    reply(seen);
+                }
+            });
+        }
+        running.reply("200 OK", "", "running");
+        int status = second.answer().status();
+        assertTrue(status == 200 || status == 504, "status " + status);
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
+    private static void reply(Stub.Seen seen) {
+        try {
+            seen.reply("200 OK", "", "ok");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -52,7 +52,7 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Client> clients = new ArrayList<>();
-    final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    final Log log = new Log();
     final Path file;
     private final Path folder;
     Sidecar sidecar;
@@ -160,6 +160,24 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5, TimeUnit.SECONDS);
     }
 
+    /** What the sidecar has logged; wakes those that wait for a line. */
+    static final class Log extends ByteArrayOutputStream {
+        @Override
+        public synchronized void write(byte[] bytes, int offset, int length) {
+            super.write(bytes, offset, length);
+            notifyAll();
+        }
+
+        synchronized void await(String part) throws InterruptedException {
+            long end = System.nanoTime() + 20_000_000_000L;
+            while (!toString(StandardCharsets.UTF_8).contains(part)) {
+                long left = (end - System.nanoTime()) / 1_000_000;
+                Assertions.assertTrue(left > 0, "never logged: " + part + "\n" + this);
+                wait(left);
+            }
+        }
+    }
+
     /** A client's connection. */
     static final class Client implements AutoCloseable {
         private static int ids;
--- a/src/test/java/larkbank/sidecar/LargeListTest.java
+++ b/src/test/java/larkbank/sidecar/LargeListTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import larkbank.Ids;
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Phase;
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import larkbank.Ids;
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
--- /dev/null
+++ b/src/test/java/larkbank/testkit/CellPlans.java
@@ -0,0 +1,66 @@
+package larkbank.testkit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import larkbank.Ids;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
+import larkbank.cell.Cell;
+import larkbank.cell.CellsPlan;
+import larkbank.cell.CellsPlan.Quarantine;
+import larkbank.cell.CellsPlan.Spread;
+import larkbank.cell.CellsPlan.Unit;
+import larkbank.cell.MovePlan;
+
+/** Plans of cells and lists of servers, as tests and measurements need them. */
+public final class CellPlans {
+
+    /** Servers drop repeats for so long; no request is in hand for longer than patience. */
+    public static final long WINDOW = 3_000_000, PATIENCE = 5_000_000;
+
+    private CellPlans() { }
+
+    /** So many cells of equal share, c0 and on. */
+    public static List<Cell> cells(int count) {
+        List<Cell> cells = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            cells.add(new Cell("c" + i, 1, false));
+        }
+        return cells;
+    }
+
+    /** The same with a small reserved one at the end. */
+    public static List<Cell> cellsAndReserve(int count) {
+        List<Cell> cells = cells(count);
+        cells.add(new Cell("q", 0.5, true));
+        return cells;
+    }
+
+    public static CellsPlan plan(List<Cell> cells, double guests, Quarantine quarantine, MovePlan... moves) {
+        return plan(cells, Map.of(), guests, quarantine, moves);
+    }
+
+    public static CellsPlan plan(List<Cell> cells, Map<Long, Integer> assigned, double guests,
+            Quarantine quarantine, MovePlan... moves) {
+        return new CellsPlan(Unit.TENANT, null, cells, Spread.SERVER, 60_000_000, assigned, List.of(moves),
+                WINDOW, PATIENCE, guests, quarantine);
+    }
+
+    public static MovePlan move(String unit, int to, long start, long over, long fence) {
+        return new MovePlan("m-" + unit, Ids.of(unit), unit, to, start, over, fence);
+    }
+
+    /** Ready servers 1 to count, dealt to zones in turn. */
+    public static List<Server> servers(int count, int zones) {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            servers.add(server(i, i % zones, Phase.READY));
+        }
+        return servers;
+    }
+
+    public static Server server(long id, int zone, Phase phase) {
+        return new Server(Ids.of("s-" + id), zone, 0, (int) id % 7, phase, 0, 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/testkit/CellsRig.java
@@ -0,0 +1,87 @@
+package larkbank.testkit;
+
+import java.util.ArrayList;
+import java.util.List;
+import larkbank.Hashes;
+import larkbank.Ids;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.cell.Cells;
+import larkbank.cell.Cells.Ticket;
+import larkbank.cell.CellsPlan;
+
+/** Drives the decisions about cells by hand, in time that a test makes up. */
+public final class CellsRig implements Cells.Actions {
+
+    public static final int REQUESTS = 1_000;
+
+    public final List<String> log = new ArrayList<>();
+    public final List<Ticket> released = new ArrayList<>();
+    public final Cells cells;
+    public long now;
+    private long timerAt;
+    private int asked;
+
+    public CellsRig(CellsPlan plan, long now, int servers) {
+        this.now = now;
+        cells = new Cells("p", plan, REQUESTS, now, this);
+        cells.listed(now, ListKind.COMPLETE, CellPlans.servers(servers, 2));
+    }
+
+    /** Lets time pass, with each timer when it is due. */
+    public void to(long later) {
+        while (timerAt != 0 && timerAt <= later) {
+            now = Math.max(now, timerAt);
+            timerAt = 0;
+            cells.timer(now);
+        }
+        now = later;
+    }
+
+    public Ticket ask(String unit, Effect effect) {
+        return ask(unit, effect, ++asked);
+    }
+
+    /** The number stands for the request and its idempotency key. */
+    public Ticket ask(String unit, Effect effect, long number) {
+        return ask(unit, effect, number, 3_000_000);
+    }
+
+    public Ticket ask(String unit, Effect effect, long number, long patience) {
+        return cells.ask(now, Ids.of(unit), effect, number, Hashes.mix(number, 5), now + patience);
+    }
+
+    public void done(Ticket ticket, boolean inTime) {
+        cells.answered(now, ticket, inTime);
+        cells.ended(now, ticket);
+    }
+
+    /** A second of so many requests of a unit, in time or not; each ends at once. */
+    public void second(String unit, Effect effect, int requests, boolean inTime) {
+        long end = now + 1_000_000;
+        for (int i = 0; i < requests; i++) {
+            to(now + 1_000_000 / requests);
+            done(ask(unit, effect), inTime);
+        }
+        to(end);
+    }
+
+    public boolean logged(String part) {
+        return log.stream().anyMatch(l -> l.contains(part));
+    }
+
+    @Override
+    public void release(Ticket ticket) {
+        released.add(ticket);
+    }
+
+    @Override
+    public void timer(long atMicros) {
+        timerAt = timerAt == 0 ? atMicros : Math.min(timerAt, atMicros);
+    }
+
+    @Override
+    public void log(String line) {
+        log.add(line);
+    }
+}
