Freeze, guests' writes and a model of a fleet: how far harm reaches with cells

Need: cells were built but only shown on sockets, for nine servers. What a flood, a bad release and a move do to a fleet of hundreds had to be tried, and the users ask for a model of what is balanced once a direction needs it.

Change: larkbank.lab plays a fleet in made-up time with the real Choice and Cells (command `lab`). What it showed was mended: writes of a moved unit ran in both cells of different sidecars, so a move may freeze them by the common clock; a slow release hurt all units of its cells, so writes may be guests where operators allow it, other homes skip sick cells, a flooding unit is no guest, and one in sixteen stays as a trial; a flood had become 'usual' before its cell was sick. The random walk found a move that did not wait for repeats while another unit moved.

--- /dev/null
+++ b/src/bench/java/larkbank/cell/DealBench.java
@@ -0,0 +1,62 @@
+package larkbank.cell;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import larkbank.Hashes;
+import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Server;
+import larkbank.testkit.CellPlans;
+
+/**
+ * How even cells are, and how many others a server moves that goes for good: bounded rendezvous and modulo.
+ */
+public final class DealBench {
+
+    private static final int FLEETS = 200;
+
+    private DealBench() { }
+
+    public static void main(String[] args) {
+        System.out.println("servers\tcells\tsmallest\tby_modulo\tmoved_by_one\tworst");
+        for (int[] size : new int[][] {{15, 3}, {22, 4}, {100, 8}, {1_000, 16}, {8_000, 64}}) {
+            measure(size[0], size[1]);
+        }
+    }
+
+    private static void measure(int servers, int cells) {
+        Random random = new Random(7);
+        double smallest = 0;
+        double modulo = 0;
+        long moved = 0;
+        int worst = 0;
+        int fleets = Math.max(5, FLEETS * 100 / Math.max(100, servers));
+        for (int f = 0; f < fleets; f++) {
+            int first = random.nextInt(1 << 28);
+            Parting parting = new Parting(CellPlans.cells(cells), CellsPlan.Spread.SERVER, 0);
+            List<Server> fleet = new ArrayList<>();
+            for (int i = 0; i < servers; i++) {
+                fleet.add(CellPlans.server(first + i, i % 5, Phase.READY));
+            }
+            parting.listed(1, ListKind.COMPLETE, fleet);
+            int[] dealt = new int[cells];
+            int[] plain = new int[cells];
+            for (Server s : fleet) {
+                dealt[parting.cellOf(s.id())]++;
+                plain[(int) Long.remainderUnsigned(Hashes.mix(s.id(), 1), cells)]++;
+            }
+            smallest += Arrays.stream(dealt).min().orElseThrow() * (double) cells / servers;
+            modulo += Arrays.stream(plain).min().orElseThrow() * (double) cells / servers;
+            int leaves = random.nextInt(servers);
+            int by = parting.listed(2, ListKind.CHANGES,
+                    List.of(CellPlans.server(first + leaves, leaves % 5, Phase.REMOVED))).size();
+            moved += by;
+            worst = Math.max(worst, by);
+        }
+        System.out.printf("%d\t%d\t%.2f\t%.2f\t%.1f\t%d%n", servers, cells, smallest / fleets,
+                modulo / fleets,
+                moved / (double) fleets, worst);
+    }
+}
--- a/src/main/java/larkbank/cell/CellHealth.java
+++ b/src/main/java/larkbank/cell/CellHealth.java
@@ -13,8 +13,11 @@
     private static final long SLOT = 1_000_000;
     /** Part in time below which it is sick, and from which it may be well. */
     private static final double SICK = 0.5, WELL = 0.8;
-    /** Fewer answers say nothing. */
-    private static final int LEAST = 20;
+    /**
+     * Fewer answers don't make it sick; most of what is asked of a sick one goes elsewhere, so fewer keep
+     * it.
+     */
+    private static final int LEAST = 20, LEAST_SICK = 3;
     /** How long it must look well; a look that has nothing to go by counts as well. */
     static final long WELL_MICROS = 10_000_000;
 
@@ -47,7 +50,7 @@
             }
             return false;
         }
-        if (n >= LEAST && part < WELL) {
+        if (n >= LEAST_SICK && part < WELL) {
             wellSince = -1;
         } else if (wellSince < 0) {
             wellSince = now;
--- a/src/main/java/larkbank/cell/Cells.java
+++ b/src/main/java/larkbank/cell/Cells.java
@@ -7,15 +7,14 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.IntStream;
+import larkbank.Hashes;
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Server;
-import larkbank.cell.CellsPlan.Quarantine;
 
 /**
  * Decides which cell a request goes to, and nothing about what happens there: each cell has a module of its
@@ -45,6 +44,7 @@
         private final long takenAt;
         private int cell = -1;
         private boolean guest;
+        private long retryAfter;
         /** The move that counts it as a write at the old cell. */
         private Moving counted;
         private Moving heldBy;
@@ -61,6 +61,11 @@
             return cell;
         }
 
+        /** Microseconds after which to come back, where it is refused: it goes nowhere; else 0. */
+        public long retryAfterMicros() {
+            return retryAfter;
+        }
+
         /** When it asked. */
         public long takenAt() {
             return takenAt;
@@ -76,28 +81,15 @@
     static final int HELD = 256;
     /** Keyed requests that are remembered while units move. */
     static final int REMEMBERED = 1 << 16;
-    /** For how long a cell must be sick before a unit is set apart; units that may be so at once. */
-    static final long PATIENCE = 3_000_000;
-    static final int APART = 4;
-    /** How much more of its cell a unit must take than it did in the long run to count as flooding it. */
-    static final double SURGE = 1.5;
-    private static final int COUNTERS = 64, DOUBLINGS = 3;
-    private static final long SHORT = 5_000_000, LONG = 300_000_000, TICK = 1_000_000;
-
-    private static final class Part {
-        final CellHealth health = new CellHealth();
-        final HeavyUnits lately = new HeavyUnits(COUNTERS, SHORT);
-        final HeavyUnits usually = new HeavyUnits(COUNTERS, LONG);
-        int guests;
-        int inHand;
-    }
-
-    /** A unit that was set apart: where it belongs, until when, how often already. */
-    private static final class Apart {
-        int times;
-        long until;
-        boolean away;
-    }
+    /**
+     * Part of its cell from which a unit that has surged is no guest: it would bring what made the cell
+     * sick.
+     */
+    static final double FLOODING = 1.0 / 8;
+    /** Part of the guests of a sick cell that stay at home, so that it shows when it is well. */
+    static final double TRIAL = 1.0 / 16;
+    private static final long TRIAL_SALT = 0x7E;
+    private static final long TICK = 1_000_000;
 
     private final String pool;
     private final Actions actions;
@@ -105,10 +97,12 @@
     /** By unit: the order or the quarantine that holds for it. */
     private final Map<Long, Moving> moves = new LinkedHashMap<>();
     private final Map<Moving, Set<Ticket>> held = new HashMap<>();
-    private final Map<Long, Apart> apart = new HashMap<>();
+    private final Floods floods;
     private CellsPlan plan;
     private int requests;
-    private Part[] parts;
+    private CellState[] parts;
+    /** Places of the sick cells. */
+    private final BitSet sick = new BitSet();
     private Parting parting;
     private Placement placement;
     /** Homes before they last changed, for keyed requests that may be repeated; null once that is over. */
@@ -125,6 +119,7 @@
     public Cells(String pool, CellsPlan plan, int requests, long now, Actions actions) {
         this.pool = pool;
         this.actions = actions;
+        floods = new Floods(this);
         repeats.begin(now);
         take(now, plan, requests);
         placement = new Placement(plan.cells(), plan.assigned(), parting.open());
@@ -134,9 +129,9 @@
     private void take(long now, CellsPlan next, int bound) {
         plan = next;
         requests = bound;
-        parts = new Part[next.cells().size()];
+        parts = new CellState[next.cells().size()];
         for (int i = 0; i < parts.length; i++) {
-            parts[i] = new Part();
+            parts[i] = new CellState();
         }
         parting = new Parting(next.cells(), next.spread(), next.keepMicros());
     }
@@ -209,7 +204,7 @@
         int parted = parts.length;
         parts = Arrays.copyOf(parts, next.cells().size());
         for (int i = parted; i < parts.length; i++) {
-            parts[i] = new Part();
+            parts[i] = new CellState();
         }
         List<Parting.Moved> moved = List.of();
         if (!before.cells().equals(next.cells()) || before.spread() != next.spread()
@@ -229,7 +224,7 @@
             if (!stays) {
                 free(now, m);
                 moves.remove(m.plan.unit());
-                apart.remove(m.plan.unit());
+                floods.forget(m.plan.unit());
             }
         }
         for (MovePlan order : next.moves()) {
@@ -237,7 +232,7 @@
             if (m == null || m.automatic) {
                 if (m != null) {
                     free(now, m);
-                    apart.remove(order.unit());
+                    floods.forget(order.unit());
                 }
                 begin(now, order, homes.getOrDefault(order.unit(), placement.home(order.unit())), false);
             }
@@ -257,7 +252,7 @@
     public void closing(long now) {
         List.copyOf(moves.values()).forEach(m -> free(now, m));
         moves.clear();
-        apart.clear();
+        floods.clear();
     }
 
     private void order(long now) {
@@ -265,12 +260,9 @@
         arm(now);
     }
 
-    private void begin(long now, MovePlan order, int from, boolean automatic) {
+    void begin(long now, MovePlan order, int from, boolean automatic) {
         // What this process has not seen from its start on may be repeated, or still run.
         Moving m = new Moving(order, from, automatic, now, plan.windowMicros(), plan.patienceMicros());
-        if (moves.values().stream().allMatch(Moving::over)) {
-            repeats.begin(now);
-        }
         moves.put(order.unit(), m);
         step(now, m);
     }
@@ -301,6 +293,19 @@
         Moving m = moves.get(unit);
         if (m != null) {
             step(now, m);
+            if (effect != Effect.SAFE && known(now, t) < 0) {
+                t.retryAfter = m.refuses(now);
+            }
+            if (t.retryAfter == 0 && effect == Effect.KEYED && m.plan.freezeMicros() > 0 && m.switched()
+                    && known(now, t) < 0) {
+                // What this process has not seen may have been at the old cell before the freeze.
+                t.retryAfter = Math.max(0, m.knownSince(repeats.completeSince())
+                        + plan.windowMicros() - now);
+            }
+            if (t.retryAfter > 0) {
+                inHand--;
+                return t;
+            }
             if (effect != Effect.SAFE && m.holds(now) && heldBy(m) < HELD
                     && deadlineMicros - now > 2 * m.plan.fenceMicros() && known(now, t) < 0) {
                 t.heldBy = m;
@@ -311,7 +316,10 @@
         }
         if (effect == Effect.SAFE) {
             int cell = m == null ? placement.home(unit) : m.ofSafe(now, hash);
-            guest(t, open(unit, cell));
+            guest(t, open(unit, cell), hash);
+            enter(t);
+        } else if (effect == Effect.UNSAFE && plan.guestWrites() && (m == null || m.over())) {
+            guest(t, open(unit, m == null ? placement.home(unit) : m.home()), hash);
             enter(t);
         } else {
             send(now, t, m == null ? placement.home(unit) : m.home(), m);
@@ -364,15 +372,15 @@
         return placement.isOpen(cell) ? cell : placement.home(unit);
     }
 
-    /** A safe request of a sick cell may be a guest of the next, within what that gives to guests. */
-    private void guest(Ticket t, int home) {
+    /** A request of a sick cell may be a guest of the next, within what that gives to guests. */
+    private void guest(Ticket t, int home, long hash) {
         t.cell = home;
-        if (plan.guests() <= 0 || !parts[home].health.sick()) {
+        if (plan.guests() <= 0 || !parts[home].health.sick() || parts[home].floods(t.unit, FLOODING)
+                || Hashes.uniform(hash, TRIAL_SALT) < TRIAL) {
             return;
         }
-        int next = placement.next(t.unit, home);
-        if (next >= 0 && !parts[next].health.sick()
-                && parts[next].guests < plan.guests() * plan.part(next, requests)) {
+        int next = placement.next(t.unit, sick);
+        if (next >= 0 && parts[next].guests < plan.guests() * plan.part(next, requests)) {
             t.cell = next;
             t.guest = true;
             parts[next].guests++;
@@ -395,7 +403,7 @@
         if (!t.guest) {
             double micros = Math.max(1, now - t.takenAt);
             parts[t.cell].lately.add(now, t.unit, micros);
-            parts[t.cell].usually.add(now, t.unit, micros);
+            parts[t.cell].filling.add(now, t.unit, micros);
         }
     }
 
@@ -438,13 +446,17 @@
         wakeAt = 0;
         for (int c = 0; c < parts.length; c++) {
             if (parts[c].health.look(now)) {
+                sick.set(c, parts[c].health.sick());
                 actions.log("cell " + plan.cells().get(c).name() + " of pool " + pool
                         + (parts[c].health.sick() ? " is sick: most of its answers are late or none"
                         : " is well again"));
             }
+            parts[c].turn(now);
         }
         List.copyOf(moves.values()).forEach(m -> step(now, m));
-        quarantine(now);
+        if (plan.quarantine() != null) {
+            floods.look(now, plan.quarantine());
+        }
         if (earlier != null && now - changedAt >= plan.windowMicros()) {
             earlier = null;
             earlierMoves = Map.of();
@@ -455,7 +467,7 @@
     private void step(long now, Moving m) {
         int to = m.plan.to();
         boolean toSick = parts[to].health.sick() || !placement.isOpen(to);
-        for (int i = 0; i < 3 && m.step(now, toSick, repeats.completeSince()); i++) {
+        for (int i = 0; i < 3 && m.step(now, toSick, m.knownSince(repeats.completeSince())); i++) {
             say(m);
             if (m.state() != Moving.State.SWITCHING) {
                 free(now, m);
@@ -469,6 +481,7 @@
             case RAMPING -> m.tries() == 0 ? "begins" : "goes on after " + m.tries() + " set-backs";
             case SWITCHING -> "holds writes until " + m.writesOut() + " at cell " + name(m.from)
                     + " have ended";
+            case FROZEN -> "refuses writes: they must have ended at cell " + name(m.from);
             case SETTLING -> "writes go to cell " + name(m.plan.to()) + " from now on";
             case DONE -> "is done";
             case GIVEN_UP -> "is given up after " + m.tries() + " tries: the unit stays at cell "
@@ -482,67 +495,43 @@
         return plan.cells().get(cell).name();
     }
 
-    // ---- Units that flood their cell
+    // ---- For what sets units apart
 
-    private void quarantine(long now) {
-        Quarantine q = plan.quarantine();
-        if (q == null) {
-            return;
-        }
-        for (Map.Entry<Long, Apart> e : List.copyOf(apart.entrySet())) {
-            comeBack(now, q, e.getKey(), e.getValue());
-        }
-        for (int c = 0; c < parts.length; c++) {
-            boolean sick = parts[c].health.sick() && now - parts[c].health.sickAt() >= PATIENCE;
-            if (sick && c != q.cell() && apart.values().stream().filter(a -> a.away).count() < APART) {
-                setApart(now, q, c);
-            }
-        }
+    /** The order or quarantine that holds for a unit; null for none. */
+    Moving move(long unit) {
+        return moves.get(unit);
     }
 
-    private void setApart(long now, Quarantine q, int cell) {
-        long unit = parts[cell].lately.heaviest();
-        double share = parts[cell].lately.share(unit);
-        if (unit < 0 || share < q.share() || share < SURGE * parts[cell].usually.share(unit)
-                || moves.containsKey(unit) || placement.home(unit) != cell
-                || plan.assigned().containsKey(unit) || !placement.isOpen(q.cell())) {
-            return;
-        }
-        Apart a = apart.computeIfAbsent(unit, u -> new Apart());
-        a.away = true;
-        a.until = now + (q.forMicros() << Math.min(a.times++, DOUBLINGS));
-        begin(now, new MovePlan("quarantine", unit, String.format(Locale.ROOT, "unit %x, %.0f%% of its cell",
-                unit, 100 * share), q.cell(), now, 0, 0), cell, true);
+    /** What was ordered for a unit, or its quarantine, is over and forgotten. */
+    void settle(long unit) {
+        moves.remove(unit);
     }
 
-    private void comeBack(long now, Quarantine q, long unit, Apart a) {
-        Moving m = moves.get(unit);
-        if (m == null || !m.automatic) {
-            // Forgiven once it has been quiet for as long as the longest stay.
-            if (now - a.until > q.forMicros() << DOUBLINGS) {
-                apart.remove(unit);
-            }
-        } else if (a.away && now >= a.until && m.over()) {
-            a.away = false;
-            begin(now, new MovePlan("return", unit, String.format(Locale.ROOT, "unit %x", unit),
-                    placement.home(unit), now, 0, 0), m.home(), true);
-        } else if (!a.away && m.over()) {
-            moves.remove(unit);
-        }
+    /** Where a unit is at home without any move. */
+    int home(long unit) {
+        return placement.home(unit);
+    }
+
+    boolean isOpen(int cell) {
+        return placement.isOpen(cell);
+    }
+
+    CellState state(int cell) {
+        return parts[cell];
     }
 
     private void arm(long now) {
         if (wakeAt != 0 && moves.isEmpty()) {
             return;
         }
-        boolean busy = inHand > 0 || parting.keeps() || earlier != null || !apart.isEmpty();
+        boolean busy = inHand > 0 || parting.keeps() || earlier != null || floods.any();
         long at = Long.MAX_VALUE;
         for (Moving m : moves.values()) {
             if (!m.over()) {
                 at = Math.min(at, Math.max(now + 1_000, m.wakeAt() == 0 ? now + TICK : m.wakeAt()));
             }
         }
-        for (Part p : parts) {
+        for (CellState p : parts) {
             busy |= p.health.sick();
         }
         at = busy ? Math.min(at, now + TICK) : at;
--- a/src/main/java/larkbank/cell/CellsPlan.java
+++ b/src/main/java/larkbank/cell/CellsPlan.java
@@ -14,11 +14,12 @@
  * @param windowMicros longest time for which servers drop repeats of keyed requests; 0 without any such class
  * @param patienceMicros longest that a request may be in hand
  * @param guests part of a cell's bound on requests that guests of sick cells may take; 0 for no guests
+ * @param guestWrites whether requests that must never run twice may be guests too
  * @param quarantine null where heavy units stay where they are
  */
 public record CellsPlan(Unit unit, String header, List<Cell> cells, Spread spread, long keepMicros,
         Map<Long, Integer> assigned, List<MovePlan> moves, long windowMicros, long patienceMicros,
-        double guests, Quarantine quarantine) {
+        double guests, boolean guestWrites, Quarantine quarantine) {
 
     /** What stays together in one cell. */
     public enum Unit { TENANT, KEY, HEADER }
@@ -38,7 +39,7 @@
     /** The same with what the classes of the pool's routes say. */
     public CellsPlan with(long window, long patience) {
         return new CellsPlan(unit, header, cells, spread, keepMicros, assigned, moves, window, patience,
-                guests, quarantine);
+                guests, guestWrites, quarantine);
     }
 
     /** A cell's part of what the whole pool may have; 1 at least. */
--- a/src/main/java/larkbank/cell/HeavyUnits.java
+++ b/src/main/java/larkbank/cell/HeavyUnits.java
@@ -1,5 +1,6 @@
 package larkbank.cell;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -64,6 +65,19 @@
         return least;
     }
 
+    /** Counts what another has counted, as it stands there by then, and empties that. */
+    void addAll(long now, HeavyUnits other) {
+        other.fade(now);
+        for (int i = 0; i < other.used; i++) {
+            add(now, other.units[i], (other.weights[i] - other.errors[i]) / other.scale);
+        }
+        other.at.clear();
+        other.used = 0;
+        other.total = 0;
+        Arrays.fill(other.weights, 0);
+        Arrays.fill(other.errors, 0);
+    }
+
     /** The part of all that a unit took for certain, 0 to 1. */
     public double share(long unit) {
         Integer place = at.get(unit);
--- a/src/main/java/larkbank/cell/MovePlan.java
+++ b/src/main/java/larkbank/cell/MovePlan.java
@@ -11,6 +11,14 @@
  * @param overMicros for how long the part of its safe requests that go to the new cell grows; 0 for at once
  * @param fenceMicros how long its writes may be held until those in hand at the old cell have ended; 0 for no
  *        fence: they go to the new cell while older ones still run at the old one
+ * @param freezeMicros for how long, from the end of the ramp on, all sidecars refuse its writes, so that
+ *        none is at both cells whoever sent it; 0 for no freeze
  */
 public record MovePlan(String name, long unit, String label, int to, long startMicros, long overMicros,
-        long fenceMicros) { }
+        long fenceMicros, long freezeMicros) {
+
+    /** When a freeze begins. */
+    long freezeAt() {
+        return startMicros + overMicros;
+    }
+}
--- a/src/main/java/larkbank/cell/Moving.java
+++ b/src/main/java/larkbank/cell/Moving.java
@@ -11,8 +11,10 @@
  */
 final class Moving {
 
-    /** WAITING for its time; RAMPING safe requests; SWITCHING: held by its fence; SETTLING repeats; DONE. */
-    enum State { WAITING, RAMPING, SWITCHING, SETTLING, DONE, GIVEN_UP }
+    /**
+     * WAITING for its time; RAMPING safe requests; writes held by a fence or refused by a freeze; repeats.
+     */
+    enum State { WAITING, RAMPING, SWITCHING, FROZEN, SETTLING, DONE, GIVEN_UP }
 
     /** Steps back, and fences in vain, after which it is given up. */
     static final int TRIES = 6;
@@ -27,6 +29,10 @@
     private final long windowMicros;
     /** Until then writes from before this process may run at the old cell. */
     private final long blindUntil;
+    /** Keyed requests of the unit are remembered from then on. */
+    private final long watchedSince;
+    /** When a freeze ends; later where this process learned of it when it had begun. */
+    private final long frozenUntil;
     private State state = State.WAITING;
     private long beganAt;
     private long fenceUntil;
@@ -42,7 +48,9 @@
         this.automatic = automatic;
         this.windowMicros = windowMicros;
         blindUntil = now + blindMicros;
+        watchedSince = now;
         notBefore = plan.startMicros();
+        frozenUntil = Math.max(plan.freezeAt(), now) + plan.freezeMicros();
     }
 
     State state() {
@@ -81,11 +89,21 @@
         };
     }
 
+    /** For how long a write is refused from now on; 0 for not at all. */
+    long refuses(long now) {
+        return state == State.FROZEN ? Math.max(1, frozenUntil - now) : 0;
+    }
+
     /** Whether a write is to be held now. */
     boolean holds(long now) {
         return state == State.SWITCHING && now < fenceUntil;
     }
 
+    /** From when on every keyed request of the unit is known, if those that are remembered are since then. */
+    long knownSince(long completeSince) {
+        return Math.max(watchedSince, completeSince);
+    }
+
     void writeSent() {
         writesOut++;
     }
@@ -109,7 +127,8 @@
         State before = state;
         switch (state) {
             case WAITING -> {
-                if (now >= notBefore && !toSick) {
+                // A freeze is at the same time everywhere, whatever one sidecar finds.
+                if (now >= notBefore && (!toSick || plan.freezeMicros() > 0)) {
                     state = State.RAMPING;
                     // What an order says holds for all sidecars, so that one that restarts catches up.
                     beganAt = tries == 0 ? plan.startMicros() : now;
@@ -124,6 +143,11 @@
                     again(now);
                 }
             }
+            case FROZEN -> {
+                if (now >= frozenUntil) {
+                    turnOver(now);
+                }
+            }
             case SETTLING -> {
                 if (now - switchedAt >= windowMicros) {
                     state = State.DONE;
@@ -135,6 +159,10 @@
     }
 
     private void ramp(long now, boolean toSick, long repeatsSince) {
+        if (plan.freezeMicros() > 0) {
+            state = part(now) >= 1 ? State.FROZEN : state;
+            return;
+        }
         if (toSick) {
             state = State.WAITING;
             again(now);
@@ -172,6 +200,7 @@
     long wakeAt() {
         return switch (state) {
             case SWITCHING -> fenceUntil;
+            case FROZEN -> frozenUntil;
             case WAITING -> notBefore;
             default -> 0;
         };
--- a/src/main/java/larkbank/cell/Placement.java
+++ b/src/main/java/larkbank/cell/Placement.java
@@ -18,6 +18,7 @@
     static final int SLOTS = 4096;
     private static final long SLOT_SALT = 0x51, CELL_SALT = 0x9F;
     private static final byte UNKNOWN = -1;
+    private static final BitSet NONE = new BitSet();
 
     private final double[] shares;
     private final long[] seeds;
@@ -44,14 +45,14 @@
         }
         int slot = slot(unit);
         if (homes[slot] == UNKNOWN) {
-            homes[slot] = (byte) best(slot, -1);
+            homes[slot] = (byte) best(slot);
         }
         return homes[slot];
     }
 
-    /** The home that a unit would have if its own were not there; -1 where there is no other. */
-    public int next(long unit, int but) {
-        return best(slot(unit), but);
+    /** The home that a unit would have if these cells were not there; -1 where there is no other. */
+    public int next(long unit, BitSet but) {
+        return rank(slot(unit), but, true);
     }
 
     /** Whether a cell has servers to its name. */
@@ -68,16 +69,16 @@
         return (int) (Hashes.mix(unit, SLOT_SALT) >>> 52);
     }
 
-    private int best(int slot, int but) {
-        int best = rank(slot, but, true);
-        return best >= 0 || but >= 0 ? best : Math.max(0, rank(slot, but, false));
+    private int best(int slot) {
+        int best = rank(slot, NONE, true);
+        return best >= 0 ? best : Math.max(0, rank(slot, NONE, false));
     }
 
-    private int rank(int slot, int but, boolean onlyOpen) {
+    private int rank(int slot, BitSet but, boolean onlyOpen) {
         int best = -1;
         double most = 0;
         for (int c = 0; c < shares.length; c++) {
-            if (shares[c] <= 0 || c == but || onlyOpen && !open.get(c)) {
+            if (shares[c] <= 0 || but.get(c) || onlyOpen && !open.get(c)) {
                 continue;
             }
             double u = Hashes.uniform(Hashes.mix(slot, CELL_SALT), seeds[c]);
--- a/src/main/java/larkbank/cli/CommandLineTool.java
+++ b/src/main/java/larkbank/cli/CommandLineTool.java
@@ -6,7 +6,8 @@
 
 /** The command line: what takes more than one word. One class a command. */
 @Command(name = "larkbank", description = "A client-side load balancer.", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {ServeCommand.class, CheckCommand.class, ExplainCommand.class, HelpCommand.class})
+        subcommands = {ServeCommand.class, CheckCommand.class, ExplainCommand.class, LabCommand.class,
+                HelpCommand.class})
 public final class CommandLineTool {
 
     /** Exit status of a bad file or a bad command line. */
--- a/src/main/java/larkbank/operators/CellsChecks.java
+++ b/src/main/java/larkbank/operators/CellsChecks.java
@@ -20,6 +20,8 @@
     private static final int LEAST_CONNECTIONS = 2;
     /** A fence may take this part of a write's time at most. */
     private static final int FENCE_PART = 4;
+    /** What a freeze must last beside the longest write: for clocks that differ and files that come late. */
+    private static final long FREEZE_MARGIN = 100_000;
 
     private final Facts facts;
     private final PoolSection pool;
@@ -119,6 +121,12 @@
                         + c.name()
                         + "' has (" + Duration.text(c.deadlineMicros()) + ")");
             }
+            long least = c.deadlineMicros() + FREEZE_MARGIN;
+            if (c.effect() != Effect.SAFE && move.freezeMicros() > 0 && move.freezeMicros() < least) {
+                problems.add(pool.cells().line("freeze." + move.name()), "'freeze' is "
+                        + Duration.text(move.freezeMicros()) + "; a write of class '" + c.name()
+                        + "' may run for longer, so it must be " + Duration.text(least) + " or more");
+            }
         }
     }
 }
--- a/src/main/java/larkbank/operators/CellsReader.java
+++ b/src/main/java/larkbank/operators/CellsReader.java
@@ -50,6 +50,10 @@
         Map<Long, Integer> assigned = assigned(names, unit);
         long keep = section.time("keep_places", 0, 3_600_000_000L, 60_000_000);
         Double guests = section.number("guests", 0, 0.5);
+        boolean writes = Boolean.TRUE.equals(section.flag("guest_writes"));
+        if (writes && (guests == null || guests == 0)) {
+            section.problem("guest_writes", "'guest_writes' without 'guests' has no effect");
+        }
         Quarantine quarantine = quarantine(names, cells);
         List<MovePlan> moves = new ArrayList<>();
         for (Section move : section.tables("moves")) {
@@ -62,7 +66,7 @@
         String header = unit == Unit.HEADER ? by.substring(HEADER.length()).toLowerCase(Locale.ROOT) : null;
         return new CellsSection(new CellsPlan(unit, header, cells,
                 "group".equals(spread) ? Spread.GROUP : Spread.SERVER, keep, assigned, moves, 0, 0,
-                guests == null ? 0 : guests, quarantine), lines);
+                guests == null ? 0 : guests, writes, quarantine), lines);
     }
 
     private List<String> names() {
@@ -201,7 +205,12 @@
         }
         long over = move.time("over", 0, 86_400_000_000L, 0);
         long fence = move.time("fence", 0, 60_000_000, 0);
+        long freeze = move.time("freeze", 0, 3_600_000_000L, 0);
+        if (fence > 0 && freeze > 0) {
+            move.problem("freeze", "'freeze' and 'fence' are two ways to do the same; set one");
+        }
         move.rejectUnknown();
+        lines.put("freeze." + name, move.has("freeze") ? move.lineOf("freeze") : move.line());
         lines.put("fence." + name, move.has("fence") ? move.lineOf("fence") : move.line());
         lines.put("to." + name, move.has("to") ? move.lineOf("to") : move.line());
         if (unit == null || to < 0 || start == null) {
@@ -212,6 +221,6 @@
                 move.problem("unit", "'" + unit + "' is moved by '" + other.name() + "' already");
             }
         }
-        moves.add(new MovePlan(name, Ids.of(unit), unit, to, start, over, fence));
+        moves.add(new MovePlan(name, Ids.of(unit), unit, to, start, over, fence, freeze));
     }
 }
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -118,10 +118,10 @@
         if (cells == null) {
             return;
         }
-        line("  cells by %s, %ss dealt out, places kept for %s, guests up to %s%%",
+        line("  cells by %s, %ss dealt out, places kept for %s, guests%s up to %s%%",
                 cells.header() == null ? cells.unit().name().toLowerCase(Locale.ROOT) : cells.header(),
                 cells.spread().name().toLowerCase(Locale.ROOT), time(cells.keepMicros()),
-                100 * cells.guests());
+                cells.guestWrites() ? " and their writes" : "", 100 * cells.guests());
         Parting parting = new Parting(cells.cells(), cells.spread(), cells.keepMicros());
         List<StaticServer> servers = pool.discovered() ? List.of() : pool.servers();
         parting.listed(0, ListKind.COMPLETE, servers.stream().map(s -> s.line(operators.facts().zones(),
@@ -135,9 +135,10 @@
                     cells.cells().get(c).share(), cells.cells().get(c).reserved() ? ", reserved" : "",
                     part.connections(), part.requests(), own.isEmpty() ? "" : ": " + own);
         }
-        cells.moves().forEach(m -> line("  move %-11s %s to %s at %s, over %s, fence %s", m.name(), m.label(),
+        cells.moves().forEach(m -> line("  move %-11s %s to %s at %s, over %s, fence %s, freeze %s",
+                m.name(), m.label(),
                 cells.cells().get(m.to()).name(), Instant.EPOCH.plus(m.startMicros(), ChronoUnit.MICROS),
-                time(m.overMicros()), time(m.fenceMicros())));
+                time(m.overMicros()), time(m.fenceMicros()), time(m.freezeMicros())));
         if (cells.quarantine() != null) {
             line("  quarantine       cell %s, from %.0f%% of a sick cell, for %s",
                     cells.cells().get(cells.quarantine().cell()).name(), 100 * cells.quarantine().share(),
--- a/src/main/java/larkbank/operators/Section.java
+++ b/src/main/java/larkbank/operators/Section.java
@@ -180,7 +180,7 @@
 
     /** The tables of a table, by name; the values that are no tables are problems. */
     List<Section> tables(String key) {
-        TomlTable all = value(key, TomlTable.class, "tables [" + key + ".NAME]");
+        TomlTable all = value(key, TomlTable.class, "tables [" + path(key) + ".NAME]");
         List<Section> sections = new ArrayList<>();
         if (all == null) {
             return sections;
--- a/src/main/java/larkbank/sidecar/CelledPool.java
+++ b/src/main/java/larkbank/sidecar/CelledPool.java
@@ -1,6 +1,8 @@
 package larkbank.sidecar;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -11,10 +13,12 @@
 import larkbank.Hashes;
 import larkbank.Ids;
 import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Limits;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Server;
+import larkbank.LoadBalancer.Settings;
 import larkbank.cell.Cells;
 import larkbank.cell.Cells.Ticket;
 import larkbank.cell.CellsPlan;
@@ -28,6 +32,7 @@
 
     private final Pool.Shared shared;
     private final List<RequestClass> classes;
+    private final Limits limits;
     private final Function<PoolPlan, Pool> maker;
     private final List<Pool> pools = new ArrayList<>();
     private final Cells cells;
@@ -36,10 +41,11 @@
     private final Map<Ticket, Call> held = new IdentityHashMap<>();
 
     /** @param maker makes the pool of one cell */
-    CelledPool(Pool.Shared shared, List<RequestClass> classes, PoolPlan plan,
+    CelledPool(Pool.Shared shared, Settings settings, PoolPlan plan,
             Function<PoolPlan, Pool> maker) {
         this.shared = shared;
-        this.classes = classes;
+        classes = settings.classes();
+        limits = settings.limits();
         this.maker = maker;
         for (int c = 0; c < plan.cells().cells().size(); c++) {
             pools.add(maker.apply(plan.ofCell(c)));
@@ -80,6 +86,10 @@
         String key = effect == Effect.KEYED ? call.headers.get(Headers.IDEMPOTENCY_KEY) : null;
         Ticket ticket = cells.ask(now, unit(call), effect, key == null ? 0 : Ids.of(key),
                 Hashes.mix(Ids.of(call.request.id()), 0), call.request.deadlineMicros());
+        if (ticket.retryAfterMicros() > 0) {
+            refuse(call, ticket.retryAfterMicros());
+            return;
+        }
         call.watch = this;
         call.ticket = ticket;
         if (ticket.cell() < 0) {
@@ -89,6 +99,24 @@
         }
     }
 
+    /** At once: it has been nowhere, so to come back does no harm. */
+    private void refuse(Call call, long retryAfterMicros) {
+        long advice = limits.retryAdvice() ? Pool.within(limits.maxRetryAdviceMicros(), retryAfterMicros) : 0;
+        forget(call);
+        if (call.upgrade != null) {
+            call.upgrade.answered(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+        call.client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, Pool.comeBack(advice),
+                Unpooled.EMPTY_BUFFER);
+    }
+
+    private void forget(Call call) {
+        call.over = true;
+        call.forgotten = true;
+        shared.inHand().over(call);
+        shared.inHand().remove(call);
+    }
+
     /** What stays together; requests that have none of it are one unit. */
     private long unit(Call call) {
         CellsPlan plan = cells.plan();
@@ -114,10 +142,7 @@
         if (call.upgrade != null) {
             call.upgrade.left();
         }
-        call.over = true;
-        call.forgotten = true;
-        shared.inHand().over(call);
-        shared.inHand().remove(call);
+        forget(call);
         long now = shared.clock().micros();
         if (call.ticket.cell() < 0) {
             cells.left(now, call.ticket);
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -66,7 +66,7 @@
 
     private Member create(PoolPlan p) {
         Cluster made = p.cells() == null ? pool(p) : new CelledPool(parts.shared(),
-                parts.config().settings().classes(), p, this::pool);
+                parts.config().settings(), p, this::pool);
         return new Member(made, p.discovered());
     }
 
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -108,7 +108,7 @@
     }
 
     /** A time to come back, as it is or still spread where only shorter ones may be told. */
-    private static long within(long longest, long micros) {
+    static long within(long longest, long micros) {
         return micros <= longest ? micros : longest / 2 + micros % (longest / 2 + 1);
     }
 
@@ -294,12 +294,16 @@
 
     @Override
     public void refuse(String requestId, long retryAfterMicros) {
+        answer(inHand.get(requestId), HttpResponseStatus.SERVICE_UNAVAILABLE, comeBack(retryAfterMicros));
+    }
+
+    /** When a client that is refused may come back; 0 says nothing of it. */
+    static HttpHeaders comeBack(long micros) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        if (retryAfterMicros > 0) {
-            headers.set(HttpHeaderNames.RETRY_AFTER,
-                    String.valueOf(Math.max(1, retryAfterMicros / 1000) / 1000.0));
+        if (micros > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(Math.max(1, micros / 1000) / 1000.0));
         }
-        answer(inHand.get(requestId), HttpResponseStatus.SERVICE_UNAVAILABLE, headers);
+        return headers;
     }
 
     @Override
--- a/src/test/java/larkbank/cell/CellsTest.java
+++ b/src/test/java/larkbank/cell/CellsTest.java
@@ -234,6 +234,69 @@
         assertEquals(to, rig.ask("acme", Effect.UNSAFE).cell());
     }
 
+    // ---- Freezes
+
+    /** All sidecars refuse the unit's writes for the same time, so none is at both cells whoever sent it. */
+    @Test
+    void aFreezeRefusesWritesAtOnce() {
+        int from = home("acme", THREE);
+        int to = (from + 1) % 3;
+        CellsPlan plan = CellPlans.plan(THREE, 0, null,
+                CellPlans.frozen("acme", to, START + 10 * SECOND, 6 * SECOND));
+        CellsRig rig = rig(plan);
+        rig.to(START + 10 * SECOND - 1);
+        Ticket before = rig.ask("acme", Effect.UNSAFE);
+        assertEquals(from, before.cell());
+        rig.to(START + 12 * SECOND);
+        Ticket refused = rig.ask("acme", Effect.UNSAFE);
+        assertEquals(-1, refused.cell());
+        assertEquals(4 * SECOND, refused.retryAfterMicros());
+        assertEquals(4 * SECOND, rig.ask("acme", Effect.KEYED).retryAfterMicros());
+        assertEquals(to, rig.ask("acme", Effect.SAFE).cell());
+        assertEquals(0, rig.ask("u1", Effect.UNSAFE).retryAfterMicros());
+        rig.to(START + 16 * SECOND);
+        assertEquals(to, rig.ask("acme", Effect.UNSAFE).cell());
+        assertEquals(to, rig.ask("acme", Effect.KEYED).cell());
+        // One that learns of it late can't know what it has sent itself, and refuses for the whole time.
+        CellsRig late = new CellsRig(plan, START + 40 * SECOND, 30);
+        assertEquals(6 * SECOND, late.ask("acme", Effect.UNSAFE).retryAfterMicros());
+        late.to(START + 46 * SECOND);
+        assertEquals(to, late.ask("acme", Effect.UNSAFE).cell());
+    }
+
+    /** A freeze is the same at all sidecars: none steps back for what it alone finds. */
+    @Test
+    void aFreezeDoesNotStepBack() {
+        int to = (home("acme", THREE) + 1) % 3;
+        String there = unitOf(to, THREE, 0);
+        CellsRig rig = rig(CellPlans.plan(THREE, 0, null,
+                CellPlans.frozen("acme", to, START + 10 * SECOND, 6 * SECOND)));
+        for (int s = 0; s < 20; s++) {
+            rig.second(there, Effect.UNSAFE, 50, false);
+        }
+        assertTrue(rig.cells.sick(to));
+        assertEquals(to, rig.ask("acme", Effect.UNSAFE).cell());
+    }
+
+    /** Repeats of keyed requests find the cell of the first, during a freeze and after it. */
+    @Test
+    void aFreezeKeepsRepeatsTogether() {
+        int from = home("acme", THREE);
+        int to = (from + 1) % 3;
+        CellsRig rig = rig(CellPlans.plan(THREE, 0, null,
+                CellPlans.frozen("acme", to, START + 10 * SECOND, 1 * SECOND)));
+        rig.to(START + 9 * SECOND);
+        assertEquals(from, rig.ask("acme", Effect.KEYED, 70_000).cell());
+        rig.to(START + 10 * SECOND + 500_000);
+        assertEquals(from, rig.ask("acme", Effect.KEYED, 70_000).cell());
+        assertTrue(rig.ask("acme", Effect.KEYED, 70_001).retryAfterMicros() > 0);
+        rig.to(START + 12 * SECOND);
+        assertEquals(from, rig.ask("acme", Effect.KEYED, 70_000).cell());
+        assertEquals(to, rig.ask("acme", Effect.KEYED, 70_001).cell());
+    }
+
+    // ---- Set-backs
+
     /** A new cell that falls sick under the moved load gives it back, and gets it again later. */
     @Test
     void aSickNewCellGivesBack() {
@@ -282,6 +345,52 @@
         assertEquals(guests, rig.cells.guests(1) + rig.cells.guests(2));
     }
 
+    /** Of what may be a guest a part stays, so that the cell shows when it is well; keyed requests all do. */
+    @Test
+    void writesMayBeGuestsToo() {
+        CellsRig rig = rig(CellPlans.withGuestWrites(CellPlans.plan(AND_RESERVE, 0.5, null)));
+        String unit = unitOf(0, AND_RESERVE, 0);
+        for (int s = 0; s < 5 && !rig.cells.sick(0); s++) {
+            rig.second(unit, Effect.UNSAFE, 50, false);
+        }
+        assertTrue(rig.cells.sick(0));
+        int guests = 0;
+        for (int i = 0; i < 2_000; i++) {
+            Ticket write = rig.ask(unit, Effect.UNSAFE);
+            guests += write.guest() ? 1 : 0;
+            rig.done(write, true);
+            Ticket keyed = rig.ask(unit, Effect.KEYED);
+            assertEquals(0, keyed.cell());
+            rig.done(keyed, true);
+        }
+        assertEquals(2_000 * (1 - Cells.TRIAL), guests, 60);
+    }
+
+    /** What made the cell sick is not carried to the next. */
+    @Test
+    void aUnitThatFloodsIsNoGuest() {
+        CellsRig rig = rig(CellPlans.plan(AND_RESERVE, 0.5, null));
+        List<String> others = List.of(unitOf(0, AND_RESERVE, 0), unitOf(0, AND_RESERVE, 1));
+        String flooder = unitOf(0, AND_RESERVE, 2);
+        for (int s = 0; s < 60; s++) {
+            busy(rig, others, flooder, 0, true);
+        }
+        for (int s = 0; s < 8; s++) {
+            busy(rig, others, flooder, 3, false);
+        }
+        assertTrue(rig.cells.sick(0));
+        int guests = 0;
+        for (int i = 0; i < 100; i++) {
+            Ticket t = rig.ask(flooder, Effect.SAFE);
+            assertEquals(0, t.cell());
+            rig.done(t, false);
+            Ticket other = rig.ask(others.get(i % 2), Effect.SAFE);
+            guests += other.guest() ? 1 : 0;
+            rig.done(other, true);
+        }
+        assertTrue(guests > 80, "only " + guests);
+    }
+
     @Test
     void withoutGuestsHarmStays() {
         CellsRig rig = rig(CellPlans.plan(THREE, 0, null));
--- a/src/test/java/larkbank/cell/PlacementTest.java
+++ b/src/test/java/larkbank/cell/PlacementTest.java
@@ -66,7 +66,7 @@
         int[] next = new int[6];
         for (int i = 0; i < 40_000; i++) {
             int home = placement.home(unit(i));
-            int other = placement.next(unit(i), home);
+            int other = placement.next(unit(i), open(home));
             assertNotEquals(home, other);
             if (home == 0) {
                 next[other]++;
--- a/src/test/java/larkbank/sidecar/CellsLoopbackTest.java
+++ b/src/test/java/larkbank/sidecar/CellsLoopbackTest.java
@@ -307,6 +307,28 @@
         assertEquals("new", harness.client().raw(search(account)).answer().body());
     }
 
+    /** A freeze: writes are refused at once with a time to come back, reads and other accounts go on. */
+    @Test
+    void aFreezeIsHeardAtOnce() throws Exception {
+        String account = accountOf(0, 0);
+        sidecar(6, Stub.serves("ok"), "");
+        harness.reload(file(move(account, 1, "freeze = \"10s\"\n")));
+        harness.log.await("refuses writes");
+        Harness.Client client = harness.client();
+        long began = System.nanoTime();
+        Http.Message refused = client.raw(book(account, "x")).answer();
+        assertEquals(503, refused.status());
+        double after = Double.parseDouble(refused.headers().get("Retry-After"));
+        assertTrue(after > 0 && after <= 2, "Retry-After " + after);
+        assertTrue(System.nanoTime() - began < 1_000_000_000L);
+        // The connection is as good as before, and the id free again.
+        assertEquals(200, client.raw(search(account)).answer().status());
+        assertEquals(200, client.raw(book(accountOf(2, 0), "x")).answer().status());
+        for (Stub s : ofCell(0)) {
+            assertTrue(s.seen.isEmpty());
+        }
+    }
+
     /** A server that leaves keeps its place; past that time others fill the hole, and nothing is lost. */
     @Test
     void serversThatChangeCellsServeOn() throws Exception {
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -81,6 +81,35 @@
         }
     }
 
+    /** What is off costs nothing: no class of it is loaded, neither at the start nor by a request. */
+    @Test
+    void whatIsOffIsNotLoaded() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        Path loaded = folder.resolve("loaded.txt");
+        try (Stub server = new Stub(Stub.serves("ok")); Harness harness = new Harness(folder, server)) {
+            ProcessBuilder program = program(harness.file, "127.0.0.1:" + address.getPort());
+            program.command().add(1, "-Xlog:class+load:file=" + loaded);
+            Process process = program.start();
+            try (Harness.Client client = connect(address, process)) {
+                assertEquals(200, client.search(2_000).answer().status());
+                assertEquals(200, client.book("x", 2_000).answer().status());
+                process.destroy();
+                assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+        List<String> own = Files.readAllLines(loaded).stream().filter(l -> l.contains(" larkbank.")).toList();
+        assertTrue(own.stream().anyMatch(l -> l.contains("larkbank.Choice ")), "the log is not what it was");
+        for (String off : List.of("cell", "lab", "cli", "operators", "route", "websocket")) {
+            assertEquals(List.of(), own.stream().filter(l -> l.contains(" larkbank." + off + "."))
+                    .map(l -> l.replaceAll("^\\S*\\s*", "")).toList());
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
     }
--- a/src/test/java/larkbank/testkit/CellPlans.java
+++ b/src/test/java/larkbank/testkit/CellPlans.java
@@ -44,11 +44,23 @@
     public static CellsPlan plan(List<Cell> cells, Map<Long, Integer> assigned, double guests,
             Quarantine quarantine, MovePlan... moves) {
         return new CellsPlan(Unit.TENANT, null, cells, Spread.SERVER, 60_000_000, assigned, List.of(moves),
-                WINDOW, PATIENCE, guests, quarantine);
+                WINDOW, PATIENCE, guests, false, quarantine);
+    }
+
+    /** The same with writes that may be guests too. */
+    public static CellsPlan withGuestWrites(CellsPlan p) {
+        return new CellsPlan(p.unit(), p.header(), p.cells(), p.spread(), p.keepMicros(), p.assigned(),
+                p.moves(),
+                p.windowMicros(), p.patienceMicros(), p.guests(), true, p.quarantine());
+    }
+
+    /** A move with a freeze. */
+    public static MovePlan frozen(String unit, int to, long start, long freeze) {
+        return new MovePlan("m-" + unit, Ids.of(unit), unit, to, start, 0, 0, freeze);
     }
 
     public static MovePlan move(String unit, int to, long start, long over, long fence) {
-        return new MovePlan("m-" + unit, Ids.of(unit), unit, to, start, over, fence);
+        return new MovePlan("m-" + unit, Ids.of(unit), unit, to, start, over, fence, 0);
     }
 
     /** Ready servers 1 to count, dealt to zones in turn. */
