Bounds for crowds of quiet sidecars: calls for the list in slots, idle, probes

Need: thousands of sidecars with a few requests a minute each add up at what they share. 2,000 that start together made 2,000 calls for the list within a second, held 2,000 watches open and kept 2,000 idle connections.

Change: `[fleet]` says what all together may do, and each takes its part from their count and its own number. larkbank.footprint decides, without I/O or clock: calls in slots of a round as long as the rate needs, idle connections that add up to the bound exactly, probes from a bucket that begins empty. Discovery polls at that pace and holds nothing open; the pool of connections closes the surplus; probes are sent, for the first time, where the settings allow them. check refuses a rate under which the settings' own would not be kept.

--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -131,6 +131,13 @@
             require(tickMicros >= 0, "the tick is negative");
         }
 
+        /** The same as one of so many instances. */
+        public Settings among(int instances) {
+            return new Settings(seed, rank, instances, zone, zones, classes, tenants, overShareWorth,
+                    probePrice,
+                    limits, rules, reports, discoveryOnAsk, warmKeys, tickMicros);
+        }
+
         /** The same with other limits and another way to discovery. */
         public Settings with(Limits other, boolean asks) {
             return new Settings(seed, rank, replicas, zone, zones, classes, tenants, overShareWorth,
--- /dev/null
+++ b/src/main/java/larkbank/cli/LabCellsCommand.java
@@ -0,0 +1,94 @@
+package larkbank.cli;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import larkbank.lab.Laboratory;
+import larkbank.lab.Report;
+import larkbank.lab.Scenario;
+import larkbank.lab.Scenario.Harm;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code lab cells}: plays a fleet in made-up time, with the real decisions, once for each number of cells.
+ */
+@Command(name = "cells", description = "Play a fleet that meets harm: how far it reaches with so many"
+        + " cells.")
+final class LabCellsCommand implements Callable<Integer> {
+
+    @Spec
+    private CommandSpec command;
+
+    @Option(names = "--servers", description = "servers (default ${DEFAULT-VALUE})", defaultValue = "120")
+    private int servers;
+
+    @Option(names = "--sidecars", description = "sidecars (default ${DEFAULT-VALUE})", defaultValue = "6")
+    private int sidecars;
+
+    @Option(names = "--units", description = "accounts that ask (default ${DEFAULT-VALUE})",
+            defaultValue = "2000")
+    private int units;
+
+    @Option(names = "--skew", description = "exponent of Zipf's law of what they ask (default"
+            + " ${DEFAULT-VALUE})",
+            defaultValue = "0.6")
+    private double skew;
+
+    @Option(names = "--load", description = "part of the cores in use before the harm (default"
+            + " ${DEFAULT-VALUE})",
+            defaultValue = "0.6")
+    private double load;
+
+    @Option(names = "--cells", split = ",", description = "numbers of cells to play; 1 for none (default"
+            + " ${DEFAULT-VALUE})", defaultValue = "1,4,12")
+    private List<Integer> cells;
+
+    @Option(names = "--guests", description = "part of a cell for guests (default ${DEFAULT-VALUE})",
+            defaultValue = "0")
+    private double guests;
+
+    @Option(names = "--quarantine", description = "reserve a twentieth of the servers for units that"
+            + " flood")
+    private boolean quarantine;
+
+    @Option(names = "--harm", description = "${COMPLETION-CANDIDATES} (default ${DEFAULT-VALUE})",
+            defaultValue = "FLOOD")
+    private Harm harm;
+
+    @Option(names = "--size", description = "part of the traffic that floods, or of the servers"
+            + " that turn slow (default ${DEFAULT-VALUE})", defaultValue = "0.24")
+    private double size;
+
+    @Option(names = "--seconds", description = "of the run; the harm begins after a third (default"
+            + " ${DEFAULT-VALUE})", defaultValue = "60")
+    private int seconds;
+
+    @Option(names = "--seed", description = "of all that is random (default ${DEFAULT-VALUE})",
+            defaultValue = "1")
+    private long seed;
+
+    @Override
+    public Integer call() {
+        var out = command.commandLine().getOut();
+        out.println("cells\tin_time_before\tin_time_with\tworth_before\tworth_with\tnoticed\tasked"
+                + "\tunanswered\tran_twice\tin_both");
+        for (int count : cells) {
+            Report r;
+            try {
+                r = Laboratory.play(new Scenario(servers, sidecars, units, skew, load, count, guests,
+                        quarantine && count > 1, harm, size, seconds, seed));
+            } catch (IllegalArgumentException e) {
+                command.commandLine().getErr().println("larkbank: " + e.getMessage());
+                return CommandLineTool.BAD;
+            }
+            out.println(String.format(Locale.ROOT, "%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d", count,
+                    r.inTimeBefore(), r.inTimeWith(), r.worthBefore(), r.worthWith(), r.noticed(), r.asked(),
+                    r.unanswered(), r.twice(), r.both()));
+            out.flush();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/footprint/ProbeBudget.java
@@ -0,0 +1,35 @@
+package larkbank.footprint;
+
+/** A token bucket for this instance's part of the probes that servers allow. */
+public final class ProbeBudget {
+
+    /** Probes that are saved at most: what one decision may want at once. */
+    static final double SAVED = 3;
+
+    private final FleetPlan plan;
+    private double tokens;
+    private long filledAt = Long.MIN_VALUE;
+
+    public ProbeBudget(FleetPlan plan) {
+        this.plan = plan;
+    }
+
+    /** Whether a probe may go out now; it is spent then. */
+    public boolean spend(long nowMicros, int servers) {
+        double rate = plan.probesPerSecond(servers);
+        if (Double.isInfinite(rate)) {
+            return true;
+        }
+        if (filledAt == Long.MIN_VALUE) {
+            // All that begin together must not all begin with what they have saved.
+            filledAt = nowMicros;
+        }
+        tokens = Math.min(SAVED, tokens + Math.max(0, nowMicros - filledAt) * rate / 1e6);
+        filledAt = Math.max(filledAt, nowMicros);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- a/src/main/java/larkbank/lab/Instance.java
+++ b/src/main/java/larkbank/lab/Instance.java
@@ -31,6 +31,9 @@
 
     /** Hears how each request ended. */
     interface Account {
+        /** It is sent to a server. */
+        default void sent(Asked asked, Machine machine) { }
+
         /** A server begins to run it. */
         void runs(Asked asked);
 
@@ -97,8 +100,9 @@
         }
     }
 
-    Cells cells() {
-        return cells;
+    /** Changes of the list, to an instance without cells. */
+    void listed(ListKind kind, List<Server> changes) {
+        parts.get(0).module.servers(time.now(), kind, changes);
     }
 
     /** The cell that a request of a unit goes to is for {@link Cells} to say; there its module has it. */
@@ -245,6 +249,7 @@
             }
             Attempt a = new Attempt(this, asked, machines.apply(server));
             asked.attempts.add(a);
+            account.sent(asked, a.machine);
             asked.out++;
             long until = timeoutMicros == 0 ? asked.deadline
                     : Math.min(asked.deadline, time.now() + timeoutMicros);
--- a/src/main/java/larkbank/lab/Laboratory.java
+++ b/src/main/java/larkbank/lab/Laboratory.java
@@ -34,7 +34,7 @@
     private static final long BEGIN = 1_000_000_000, WINDOW = 3_000_000, PATIENCE = 5_000_000;
     private static final double LATE = 0.3, SLOW = 8, NOTICED = 0.2, RESERVE = 0.05;
     private static final int ZONES = 3, LEAST_ASKED = 5;
-    private static final double[] SHARES = {0.35, 0.34, 0.31};
+    static final double[] SHARES = {0.35, 0.34, 0.31};
     /** Least and most work, least and most wait, of each class. */
     private static final long[][] WORK = {{77_000, 140_000, 74_000, 140_000},
         {110_000, 190_000, 200_000, 380_000}, {110_000, 200_000, 110_000, 200_000}};
@@ -87,7 +87,8 @@
         }
         CellsPlan plan = scenario.cells() == 1 ? null : plan();
         for (int i = 0; i < scenario.sidecars(); i++) {
-            instances.add(new Instance(time, settings(i), plan, servers, this, machines::get));
+            instances.add(new Instance(time, settings(scenario.seed()
+                    + i, i, scenario.sidecars()), plan, servers, this, machines::get));
         }
         double capacity = machines.values().stream().mapToDouble(Machine::capacity).sum();
         double mean = 0;
@@ -102,8 +103,9 @@
         return report();
     }
 
-    private Settings settings(int rank) {
-        return new Settings(scenario.seed() + rank, rank, scenario.sidecars(), rank % ZONES,
+    /** What an instance of the model is handed. */
+    static Settings settings(long seed, int rank, int instances) {
+        return new Settings(seed, rank, instances, rank % ZONES,
                 List.of("a", "b", "c"), CLASSES, List.of(), 1, 0,
                 new Limits(6, true, false, true, 2_000_000, 10_000_000, 2_000, Integer.MAX_VALUE, true,
                 4_000),
@@ -155,12 +157,24 @@
     }
 
     private void ask(int unit) {
-        int c = workload.requestClass();
+        instances.get(random.nextInt(instances.size()))
+                .take(request("r" + asked++, unit, workload.requestClass(), random, time.now()));
+    }
+
+    /** A request of some unit and class. */
+    static Asked request(String id, Workload workload, SplittableRandom random, long now) {
+        return request(id, workload.unit(), workload.requestClass(), random, now);
+    }
+
+    private static Asked request(String id, int unit, int c, SplittableRandom random, long now) {
         long[] w = WORK[c];
-        Asked request = new Asked("r" + asked++, unit, c, time.now(),
-                time.now() + CLASSES.get(c).deadlineMicros() - 20_000, random.nextLong(w[0], w[1]),
-                random.nextLong(w[2], w[3]));
-        instances.get(random.nextInt(instances.size())).take(request);
+        return new Asked(id, unit, c, now, now + CLASSES.get(c).deadlineMicros() - 20_000,
+                random.nextLong(w[0], w[1]), random.nextLong(w[2], w[3]));
+    }
+
+    /** Microseconds within which a request wants its answer. */
+    static long aim(Asked request) {
+        return CLASSES.get(request.requestClass).aimMicros();
     }
 
     private void harm(double rate) {
--- a/src/main/java/larkbank/operators/Checks.java
+++ b/src/main/java/larkbank/operators/Checks.java
@@ -13,6 +13,7 @@
 import larkbank.LoadBalancer.Group;
 import larkbank.LoadBalancer.RequestClass;
 import larkbank.operators.OperatorsFile.ClassSection;
+import larkbank.operators.OperatorsFile.FleetSection;
 import larkbank.operators.OperatorsFile.ListenerSection;
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
@@ -52,6 +53,9 @@
         }
         file.pools().values().stream().filter(p -> p.cells() != null)
                 .forEach(p -> new CellsChecks(facts, file, p, problems).run());
+        if (file.fleet() != null) {
+            fleet(file.fleet());
+        }
         shares(LimitKey.MAX_CONNECTIONS, facts.serverConnections(), "descriptors for servers");
         shares(LimitKey.MAX_REQUESTS, facts.settings().limits().open(), "requests that may be in hand");
     }
@@ -348,6 +352,33 @@
         }
     }
 
+    // ---- What all instances share
+
+    private void fleet(FleetSection fleet) {
+        int rank = facts.settings().rank();
+        if (rank >= fleet.instances()) {
+            problems.add(fleet.lines().get("instances"), "'instances' is " + fleet.instances()
+                    + ", and the settings say that this is number " + rank + ", counted from 0");
+        }
+        long most = facts.settings().rules().askEveryMicros();
+        double every = fleet.listRate() == 0 ? 0 : fleet.instances() / fleet.listRate() * 1e6;
+        if (most > 0 && every > most) {
+            problems.add(fleet.lines().get("list_rate"), "'list_rate' is " + fleet.listRate()
+                    + ", so each of "
+                    + fleet.instances() + " instances would ask every " + Duration.text((long) every)
+                    + "; the settings want it asked every " + Duration.text(most) + ": it must be "
+                    + (long) Math.ceil(fleet.instances() * 1e6 / most) + " or more");
+        }
+        if (fleet.listRate() > 0 && file.pools().values().stream().allMatch(p -> p.servers() != null)) {
+            problems.add(fleet.lines().get("list_rate"), "'list_rate' has no effect: no pool has source"
+                    + " 'discovery'");
+        }
+        if (fleet.probeRate() > 0 && !facts.settings().limits().probing()) {
+            problems.add(fleet.lines().get("probe_rate"), "'probe_rate' is set and the settings allow no"
+                    + " probes");
+        }
+    }
+
     // ---- What all pools share
 
     private void shares(LimitKey key, long all, String what) {
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -16,6 +16,7 @@
 import larkbank.cell.CellsPlan;
 import larkbank.cell.Parting;
 import larkbank.cell.Placement;
+import larkbank.footprint.FleetPlan;
 import larkbank.operators.OperatorsFile.RouteSection;
 import larkbank.route.BadTarget;
 import larkbank.route.HostName;
@@ -44,6 +45,7 @@
         for (Listener listener : operators.plan().listeners()) {
             explain.line("listener %s: %s", listener.name(), Addresses.text(listener.address()));
         }
+        explain.fleet(operators.plan().fleet());
         operators.plan().pools().forEach(explain::pool);
         operators.file().routes().forEach(explain::route);
         return explain.out.toString();
@@ -113,6 +115,22 @@
         cells(pool);
     }
 
+    private void fleet(FleetPlan fleet) {
+        if (fleet == null) {
+            return;
+        }
+        line("fleet: number %d of %d instances", fleet.rank(), fleet.instances());
+        line("  list             %s", fleet.askEveryMicros() == 0 ? "watched"
+                : "asked once in " + Duration.text(fleet.askEveryMicros()) + ", " + fleet.listRate()
+                + " a second by all");
+        line("  idle             %s", fleet.idlePerServer() == Integer.MAX_VALUE ? "no bound"
+                : String.format(Locale.ROOT, "%d connections to a server by all; %d here at 100 servers",
+                fleet.idlePerServer(), fleet.idle(100)));
+        line("  probes           %s", fleet.probeRate() == 0 ? "no bound" : String.format(Locale.ROOT,
+                "%s a second at a server by all; %.3f here at 100 servers", fleet.probeRate(),
+                fleet.probesPerSecond(100)));
+    }
+
     private void cells(PoolPlan pool) {
         CellsPlan cells = pool.cells();
         if (cells == null) {
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import larkbank.LoadBalancer.RequestClass;
+import larkbank.footprint.FleetPlan;
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
 import larkbank.route.Listener;
@@ -42,7 +43,7 @@
                     route.webSocket())));
         }
         plan = new Plan(listeners(), pools(), new Router<>(routes),
-                routes.stream().anyMatch(r -> r.target().webSocket() != null));
+                routes.stream().anyMatch(r -> r.target().webSocket() != null), fleet());
     }
 
     /**
@@ -98,6 +99,12 @@
         return limits.get(route);
     }
 
+    private FleetPlan fleet() {
+        OperatorsFile.FleetSection f = file.fleet();
+        return f == null ? null : new FleetPlan(f.instances(), facts.settings().rank(), f.listRate(),
+                f.idlePerServer() == null ? Integer.MAX_VALUE : f.idlePerServer().intValue(), f.probeRate());
+    }
+
     private List<Listener> listeners() {
         if (file.listeners().isEmpty()) {
             return List.of(new Listener("LB_LISTEN", facts.listen()));
--- a/src/main/java/larkbank/operators/OperatorsFile.java
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -10,7 +10,11 @@
 
 /** A file as it is written: each section with its values and their lines, before anything is compared. */
 record OperatorsFile(List<ListenerSection> listeners, Map<String, PoolSection> pools,
-        Map<String, ClassSection> classes, List<RouteSection> routes) {
+        Map<String, ClassSection> classes, List<RouteSection> routes, FleetSection fleet) {
+
+    /** What all instances share; null where the file does not say; lines by key. */
+    record FleetSection(int line, int instances, double listRate, Long idlePerServer, double probeRate,
+            Map<String, Integer> lines) { }
 
     record ListenerSection(String name, int line, InetSocketAddress address) { }
 
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -13,6 +13,7 @@
 import larkbank.Addresses;
 import larkbank.operators.OperatorsFile.CellsSection;
 import larkbank.operators.OperatorsFile.ClassSection;
+import larkbank.operators.OperatorsFile.FleetSection;
 import larkbank.operators.OperatorsFile.ListenerSection;
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
@@ -37,6 +38,7 @@
     private static final long MOST_PRIORITY = 1_000;
     private static final long MOST_BYTES = 1L << 40;
     private static final long MOST_TUNNELS = 1_000_000;
+    private static final long MOST_INSTANCES = 1_000_000;
     /** What fits into a close frame beside its code (RFC 6455, section 5.5). */
     private static final int MOST_REASON = 123;
     /** What the sidecar sets itself. */
@@ -78,8 +80,25 @@
         top.tables("classes").forEach(s -> classes.put(name(s), requestClass(s)));
         List<RouteSection> routes = new ArrayList<>();
         top.tables("routes").forEach(s -> routes.add(route(s)));
+        Section fleet = top.table("fleet");
+        FleetSection shared = fleet == null ? null : fleet(fleet);
         top.rejectUnknown();
-        return new OperatorsFile(listeners, pools, classes, routes);
+        return new OperatorsFile(listeners, pools, classes, routes, shared);
+    }
+
+    private FleetSection fleet(Section section) {
+        int instances = (int) section.count("instances", 1, MOST_INSTANCES,
+                Math.max(1, facts.settings().replicas()));
+        Double listRate = section.number("list_rate", 0.01, 1_000_000);
+        Long idle = section.count("idle_per_server", 0, 1_000_000);
+        Double probeRate = section.number("probe_rate", 0.001, 1_000_000);
+        Map<String, Integer> lines = new HashMap<>();
+        for (String key : List.of("instances", "list_rate", "idle_per_server", "probe_rate")) {
+            lines.put(key, section.has(key) ? section.lineOf(key) : section.line());
+        }
+        section.rejectUnknown();
+        return new FleetSection(section.line(), instances, listRate == null ? 0 : listRate, idle,
+                probeRate == null ? 0 : probeRate, lines);
     }
 
     private static String name(Section section) {
--- a/src/main/java/larkbank/route/Plan.java
+++ b/src/main/java/larkbank/route/Plan.java
@@ -1,11 +1,13 @@
 package larkbank.route;
 
 import java.util.List;
+import larkbank.footprint.FleetPlan;
 
 /**
  * All that an operators' file says, checked and compiled; taken over whole or not at all.
  *
  * @param webSockets whether any route has WebSockets
+ * @param fleet what all instances together may ask of what they share; null for no bounds
  */
 public record Plan(List<Listener> listeners, List<PoolPlan> pools, Router<Target> router,
-        boolean webSockets) { }
+        boolean webSockets, FleetPlan fleet) { }
--- a/src/main/java/larkbank/sidecar/CelledPool.java
+++ b/src/main/java/larkbank/sidecar/CelledPool.java
@@ -33,6 +33,7 @@
     private final Pool.Shared shared;
     private final List<RequestClass> classes;
     private final Limits limits;
+    private Shares shares;
     private final Function<PoolPlan, Pool> maker;
     private final List<Pool> pools = new ArrayList<>();
     private final Cells cells;
@@ -280,6 +281,7 @@
             } else {
                 Pool added = maker.apply(plan.ofCell(c));
                 pools.add(added);
+                added.share(shares);
                 added.listed(ListKind.COMPLETE, new ServerList(0, true, List.of()));
             }
         }
@@ -287,6 +289,12 @@
                 cells.plan(shared.clock().micros(), plan.cells(), plan.requests()));
     }
 
+    @Override
+    public void share(Shares others) {
+        shares = others;
+        pools.forEach(p -> p.share(others));
+    }
+
     @Override
     public void retire(Runnable ended) {
         cells.closing(shared.clock().micros());
--- a/src/main/java/larkbank/sidecar/Cluster.java
+++ b/src/main/java/larkbank/sidecar/Cluster.java
@@ -34,6 +34,20 @@
     /** Other limits hold from now on; what is in hand or open stays. */
     void limit(PoolPlan plan);
 
+    /**
+     * Shares servers with other instances, within what these bounds leave to this one; null for no bounds.
+     */
+    void share(Shares shares);
+
+    /** What one instance may ask of servers that it shares. */
+    interface Shares {
+        /** Idle connections to so many servers. */
+        int idle(int servers);
+
+        /** Whether a probe may go out now to one of so many servers; it is spent then. */
+        boolean probe(long nowMicros, int servers);
+    }
+
     /**
      * Ends it: its servers are told as gone, so that nothing new goes to them past the drain grace, and what
      * has been sent may still be answered.
--- a/src/main/java/larkbank/sidecar/Discovery.java
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -69,6 +69,8 @@
     private boolean whole;
     private long revision;
     private long askedAt;
+    private Clock clock;
+    private Pace pace;
     private Future<?> silence;
     private Future<?> pause;
 
@@ -89,12 +91,43 @@
         this.holdMillis = holdMillis;
     }
 
+    /** When it may ask; without one it watches. Times are Unix time in microseconds. */
+    interface Pace {
+        /** The time of the next call, which is used up by this. */
+        long next(long nowMicros);
+
+        /** How long a call may take. */
+        long patienceMicros();
+    }
+
+    /** Asks at this pace from now on, and holds nothing open in between; null to watch. */
+    void pace(Clock clock, Pace other) {
+        boolean was = pace != null;
+        pace = other;
+        this.clock = clock;
+        if (watching && (was || other != null)) {
+            // What is under way was asked in the old way, and what waits for its time waits for the old one.
+            drop();
+            begin();
+        }
+    }
+
     /** Begins to watch; while the watch is on there is nothing to ask for. */
     void subscribe() {
         if (!watching) {
             watching = true;
+            begin();
+        }
+    }
+
+    /** Asks at once, or in its next turn. */
+    private void begin() {
+        if (pace == null) {
             ask();
+            return;
         }
+        long now = clock.micros();
+        pause = loop.schedule(this::ask, Math.max(0, pace.next(now) - now), TimeUnit.MICROSECONDS);
     }
 
     /** Goes on at another address. What the old one still tells no longer counts. */
@@ -106,7 +139,7 @@
         whole = true;
         drop();
         watching = true;
-        ask();
+        begin();
     }
 
     void close() {
@@ -123,7 +156,8 @@
             return;
         }
         askedAt = System.nanoTime();
-        silence = loop.schedule(() -> fail("no answer"), holdMillis + SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+        long patience = pace == null ? holdMillis + SILENCE_MILLIS : pace.patienceMicros() / 1_000;
+        silence = loop.schedule(() -> fail("no answer"), patience, TimeUnit.MILLISECONDS);
         if (peer == null) {
             peer = new Peer();
         } else if (peer.up) {
@@ -177,9 +211,14 @@
         }
         whole = false;
         revision = list.revision();
-        if (!keep) {
+        if (!keep || pace != null) {
             drop();
         }
+        if (pace != null) {
+            begin();
+            listener.listed(list);
+            return;
+        }
         boolean early = list.entries().isEmpty()
                 && System.nanoTime() - askedAt < TimeUnit.MILLISECONDS.toNanos(holdMillis / 2);
         if (early) {
@@ -219,7 +258,7 @@
 
         private void send() {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + holdMillis,
+                    whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + (pace == null ? holdMillis : 0),
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
             link.send(request);
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.Settings;
@@ -13,9 +14,9 @@
 /** The addresses, routes and pools of a sidecar; what an operators' file may change. */
 interface Layout {
 
-    /** What a layout is made with. */
+    /** What a layout is made with; the pace is how discovery is asked from then on, null for a watch. */
     record Parts(Config config, Pool.Shared shared, BiFunction<Settings, Actions, LoadBalancer> modules,
-            RequestReader reader, ClientServer clients) { }
+            RequestReader reader, ClientServer clients, Consumer<Discovery.Pace> pace) { }
 
     /** A file that was read and found good, before it holds. */
     interface Change {
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -16,6 +16,9 @@
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
+import larkbank.footprint.AskPacer;
+import larkbank.footprint.FleetPlan;
+import larkbank.footprint.ProbeBudget;
 import larkbank.operators.BadFile;
 import larkbank.operators.Operators;
 import larkbank.route.Listener;
@@ -35,6 +38,8 @@
     /** By the address as the file has it, whose port may be 0. */
     private final Map<InetSocketAddress, ClientServer.Door> doors = new LinkedHashMap<>();
     private Plan plan;
+    /** At whose pace discovery is asked; null for a watch. */
+    private FleetPlan paced;
     private OperatorsRouting routing;
     /** Made once a route has WebSockets, and kept from then on. */
     private WebSocketUpgrades upgrades;
@@ -47,6 +52,54 @@
         this.plan = plan;
         plan.pools().forEach(p -> pools.put(p.name(), create(p)));
         routing = route(plan);
+        share(plan.fleet());
+    }
+
+    /** What all instances share; a pace that stays the same keeps its place. */
+    private void share(FleetPlan fleet) {
+        Cluster.Shares shares = fleet == null ? null : new Part(fleet);
+        pools.values().forEach(m -> m.cluster().share(shares));
+        if (fleet == null || fleet.askEveryMicros() == 0) {
+            if (paced != null) {
+                parts.pace().accept(null);
+            }
+            paced = null;
+        } else if (!fleet.equals(paced)) {
+            paced = fleet;
+            AskPacer pacer = new AskPacer(fleet);
+            parts.pace().accept(new Discovery.Pace() {
+                @Override
+                public long next(long nowMicros) {
+                    return pacer.next(nowMicros);
+                }
+
+                @Override
+                public long patienceMicros() {
+                    return pacer.patienceMicros();
+                }
+            });
+        }
+    }
+
+    /** This instance's part of what all may do. */
+    private static final class Part implements Cluster.Shares {
+        private final FleetPlan fleet;
+        private final ProbeBudget probes;
+
+        Part(FleetPlan fleet) {
+            this.fleet = fleet;
+            probes = new ProbeBudget(fleet);
+        }
+
+        @Override
+        public int idle(int servers) {
+            return fleet.idle(servers);
+        }
+
+        @Override
+        public boolean probe(long nowMicros, int servers) {
+            return probes.spend(nowMicros, servers);
+        }
     }
 
     /** Reads the file; the layout is made later, on the loop. */
@@ -72,7 +125,9 @@
 
     private Pool pool(PoolPlan p) {
         Config config = parts.config();
-        Settings settings = config.settings().with(
+        FleetPlan fleet = plan.fleet();
+        Settings known = fleet == null ? config.settings() : config.settings().among(fleet.instances());
+        Settings settings = known.with(
                 config.settings().limits().with(p.requests(), p.queue(), p.connections()),
                 p.discovered() && config.settings().discoveryOnAsk());
         return new Pool(parts.shared(), config, settings, p.connections(), p.tunnels(), parts.modules());
@@ -200,6 +255,7 @@
         ServerList known = discovered().stream().findFirst().map(Cluster::list)
                 .orElse(parts.config().known());
         Map<String, Member> before = new LinkedHashMap<>(pools);
+        plan = next;
         pools.clear();
         for (PoolPlan p : next.pools()) {
             Member member = before.get(p.name());
@@ -215,8 +271,8 @@
                 begin(p, pools.get(p.name()).cluster(), known);
             }
         }
-        plan = next;
         routing = route(next);
+        share(next.fleet());
         before.values().forEach(member -> retire(member.cluster()));
         Set<InetSocketAddress> kept = new HashSet<>();
         next.listeners().forEach(l -> kept.add(l.address()));
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,10 @@
     private final ServerPool servers;
     private final boolean retryAdvice;
     private final long longestAdvice;
+    private final boolean probing;
+    private final long connectMicros;
+    /** Null where nothing says how much may be probed. */
+    private Prober prober;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean inModule;
     /** Requests that have not been forgotten. */
@@ -69,6 +74,8 @@
         module = modules.apply(settings, this);
         retryAdvice = settings.limits().retryAdvice();
         longestAdvice = settings.limits().maxRetryAdviceMicros();
+        probing = settings.limits().probing();
+        connectMicros = config.connectMicros();
         servers = new ServerPool(loop, clock, config, connections, tunnels, this);
     }
 
@@ -164,6 +171,14 @@
         tell(null, now -> module.limits(now, plan.requests(), plan.queue(), plan.connections()));
     }
 
+    @Override
+    public void share(Shares shares) {
+        servers.keep(shares == null ? null : shares::idle);
+        prober = shares == null || !probing ? null : new Prober(loop, clock, connectMicros,
+                () -> shares.probe(clock.micros(), servers.size()), (server, result, elapsed, report) ->
+                tell(null, now -> module.probed(now, server, result, elapsed, report)));
+    }
+
     @Override
     public void retire(Runnable ended) {
         emptied = () -> {
@@ -320,9 +335,14 @@
                 Math.max(0, atMicros - clock.micros()), TimeUnit.MICROSECONDS);
     }
 
-    /** Sidecars may not probe; the module only asks where the settings allow it. */
+    /** The module only asks where the settings allow it; what is beyond the bounds is not sent. */
     @Override
-    public void probe(long server) { }
+    public void probe(long server) {
+        InetSocketAddress address = prober == null ? null : servers.address(server);
+        if (address != null) {
+            prober.probe(server, address);
+        }
+    }
 
     @Override
     public void closeIdle(long server) {
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.Result;
@@ -62,6 +63,8 @@
     /** All idle connections, the longest idle first: to find it costs the same in a fleet of any size. */
     private final Set<Connection> idleOrder = new LinkedHashSet<>();
     private int open;
+    /** Idle connections that it may keep, by the servers that it knows; null for no other bound. */
+    private IntUnaryOperator mostIdle;
     /** Null where nothing goes over to another protocol. */
     private PoolPlan.Tunnelled tunnels;
     private final Rules rules;
@@ -208,6 +211,19 @@
         }
     }
 
+    /** From now on no more idle connections than this says for so many servers; null for no such bound. */
+    void keep(IntUnaryOperator idle) {
+        mostIdle = idle;
+        closeSurplus();
+    }
+
+    /** What is idle for the longest goes first. */
+    private void closeSurplus() {
+        while (mostIdle != null && idleOrder.size() > mostIdle.applyAsInt(nodes.size())) {
+            closeOldestIdle();
+        }
+    }
+
     /** Bytes that wait to be written on connections that have gone over to another protocol. */
     long waitingBytes() {
         return nodes.values().stream().flatMap(n -> n.switched.stream())
@@ -246,6 +262,12 @@
         return rules;
     }
 
+    /** Where a server that is in service listens; null for any other. */
+    InetSocketAddress address(long server) {
+        Node node = nodes.get(server);
+        return node == null || node.leavingSince != 0 ? null : node.address;
+    }
+
     /** Whether any server is in service. */
     boolean anyReady() {
         return nodes.values().stream().anyMatch(n -> n.leavingSince == 0);
@@ -407,6 +429,7 @@
                 idleSince = clock.micros();
                 node.idle.addLast(this);
                 idleOrder.add(this);
+                closeSurplus();
             }
         }
 
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -76,7 +76,8 @@
                 this::log);
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
         var shared = new Pool.Shared(loop, clock, inHand, discovery::subscribe, this::log);
-        layout = layouts.of(new Layout.Parts(config, shared, modules, reader, clients));
+        layout = layouts.of(new Layout.Parts(config, shared, modules, reader, clients,
+                pace -> discovery.pace(clock, pace)));
         feed = new ListFeed(loop, layout);
     }
 
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/FleetShareTest.java
@@ -0,0 +1,148 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import larkbank.testkit.Stub;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What an instance holds open and asks where many share servers and discovery. */
+@Timeout(60)
+class FleetShareTest extends Loopback {
+
+    private static final String ROUTES = "[pools.p]\nsource = \"discovery\"\n[routes.search]\n"
+            + "path = \"/search/*\"\nclass = \"search\"\npool = \"p\"\n";
+
+    private Harness harness;
+
+    private Harness sidecar(String fleet, Stub... servers) throws Exception {
+        harness = new Harness(folder, servers);
+        open.add(harness);
+        return harness.startWith("version = 1\n" + fleet + ROUTES);
+    }
+
+    /** Calls have their times and hold nothing open: each asks for changes, waits for nothing and closes. */
+    @Test
+    void theListIsAskedAtItsPace() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        harness = new Harness(folder, one);
+        open.add(harness);
+        harness.discovery.script(seen -> seen.reply("200 OK", "", Harness.json(Harness.NOTHING_NEW)));
+        harness.startWith("version = 1\n[fleet]\ninstances = 4\nlist_rate = 10\n" + ROUTES);
+        List<Long> at = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            Stub.Seen call = harness.discovery.take();
+            at.add(System.nanoTime());
+            assertTrue(call.request().first().endsWith("&hold_ms=0 HTTP/1.1"), call.request().first());
+            harness.discovery.awaitEnd();
+        }
+        for (int i = 1; i < at.size(); i++) {
+            long between = (at.get(i) - at.get(i - 1)) / 1_000_000;
+            assertTrue(between > 250, "calls " + between + " ms apart, for one in 400 ms");
+        }
+        assertEquals(200, harness.client().search(2_000).answer().status());
+    }
+
+    /**
+     * A discovery that fails is asked no oftener, and what changed is known with the next call that works.
+     */
+    @Test
+    void failuresKeepThePace() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        Stub two = server(Stub.serves("two"));
+        harness = new Harness(folder, one);
+        open.add(harness);
+        harness.discovery.script(Stub.answers("503 Service Unavailable", "", ""));
+        harness.startWith("version = 1\n[fleet]\ninstances = 2\nlist_rate = 10\n" + ROUTES);
+        long began = System.nanoTime();
+        for (int i = 0; i < 4; i++) {
+            harness.discovery.take();
+        }
+        assertTrue((System.nanoTime() - began) / 1_000_000 > 450, "four failures in less than three rounds");
+        harness.discovery.script(seen -> seen.reply("200 OK", "", Harness.json(
+                Harness.list(2, true, "in_service", two))));
+        two.script(Stub.serves("two"));
+        for (int i = 0; i < 3; i++) {
+            harness.discovery.take();
+        }
+        assertEquals("two", harness.client().search(2_000).answer().body());
+    }
+
+    /** Word of a drain that comes with a paced call is kept as ever. */
+    @Test
+    void aReloadChangesThePace() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        sidecar("", one);
+        Stub.Seen watch = harness.discovery.take();
+        assertTrue(watch.request().first().contains("hold_ms=20000"), watch.request().first());
+        harness.discovery.script(seen -> seen.reply("200 OK", "", Harness.json(Harness.NOTHING_NEW)));
+        harness.reload("version = 1\n[fleet]\ninstances = 2\nlist_rate = 20\n" + ROUTES);
+        harness.discovery.awaitEnd();
+        assertTrue(harness.discovery.take().request().first().contains("hold_ms=0"));
+        harness.discovery.script(seen -> { });
+        harness.reload("version = 1\n" + ROUTES);
+        Stub.Seen again = harness.discovery.take();
+        while (again.request().first().contains("hold_ms=0")) {
+            again = harness.discovery.take();
+        }
+        assertTrue(again.request().first().contains("hold_ms=20000"), again.request().first());
+    }
+
+    /** With no part of the idle connections each answer ends its connection; without a bound it is kept. */
+    @Test
+    void idleConnectionsKeepTheBound() throws Exception {
+        Stub one = server(Stub.serves("one"));
+        sidecar("[fleet]\ninstances = 3000\nidle_per_server = 0\n", one);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, harness.client().search(2_000).answer().status());
+            one.awaitEnd();
+        }
+        assertEquals(3, one.accepted.get());
+        harness.reload("version = 1\n[fleet]\ninstances = 3000\nidle_per_server = 1\n" + ROUTES);
+        // This is number 0 of 3000, which has the one connection that the bound leaves to all.
+        assertEquals(200, harness.client().search(2_000).answer().status());
+        assertFalse(one.ended.poll(100, TimeUnit.MILLISECONDS) != null, "closed though it may be kept");
+        harness.reload("version = 1\n[fleet]\ninstances = 3000\nidle_per_server = 0\n" + ROUTES);
+        one.awaitEnd();
+        harness.reload("version = 1\n" + ROUTES);
+        assertEquals(200, harness.client().search(2_000).answer().status());
+        assertFalse(one.ended.poll(100, TimeUnit.MILLISECONDS) != null, "closed without a bound");
+    }
+
+    /** Where the settings allow probes they go out within the bound, and what they tell is used. */
+    @Test
+    void probesKeepTheBound() throws Exception {
+        Stub.Script script = seen -> {
+            if (seen.request().first().startsWith("GET /load ")) {
+                seen.reply("200 OK", "", "TEXT active=3, cpu=0.2");
+            } else {
+                seen.reply("200 OK", "", "ok");
+            }
+        };
+        Stub one = server(script);
+        Stub two = server(script);
+        harness = new Harness(folder, one, two);
+        open.add(harness);
+        String text = Files.readString(harness.file);
+        Files.writeString(harness.file, text.replace("\"cancelling\":true",
+                "\"cancelling\":true,\"probing\":true")
+                .replace("\"source\":\"answers\"", "\"source\":\"probe\""));
+        harness.startWith("version = 1\n[fleet]\ninstances = 1\nprobe_rate = 1\n" + ROUTES);
+        long began = System.nanoTime();
+        for (int i = 0; i < 400; i++) {
+            assertEquals(200, harness.client().search(2_000).answer().status());
+        }
+        double seconds = (System.nanoTime() - began) / 1e9;
+        long probes = one.seen.stream().filter(s -> s.request().first().startsWith("GET /load ")).count()
+                + two.seen.stream().filter(s -> s.request().first().startsWith("GET /load ")).count();
+        // One a second at each of two servers, and the few that a quiet spell had saved.
+        assertTrue(probes > 0, "no probe went out");
+        assertTrue(probes <= 2 * seconds + 4, probes + " probes in " + seconds + " s");
+    }
+}
--- a/src/test/java/larkbank/testkit/Stub.java
+++ b/src/test/java/larkbank/testkit/Stub.java
@@ -49,8 +49,13 @@
     private volatile Script script;
 
     public Stub(Script script) throws IOException {
+        this(script, 50);
+    }
+
+    /** With room for so many connections that have come up and not been accepted. */
+    public Stub(Script script, int backlog) throws IOException {
         this.script = script;
-        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listening = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
         accepting = daemon(this::accept);
     }
 
