Plug-ins are asked about upgrades too, so there is no way round their policy

Need: a request for an upgrade passed plug-ins by, so one that refuses or marks requests held for plain ones only.

Change: such a request is asked about before its handshake; what comes behind it meanwhile is kept as it is while a handshake is on its way to a server.

--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -243,10 +243,14 @@
     public void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest {
         RequestReader.check(http);
         PluginChain chain = layout.plugins();
-        if (chain == null || layout.upgrades() && Handshake.isAsked(http.headers())) {
+        if (chain == null) {
             admit(clock.micros(), http, client, layout.way(http));
             return;
         }
+        if (layout.upgrades() && Handshake.isAsked(http.headers())) {
+            // What comes behind it meanwhile is none of HTTP, if it is agreed to.
+            client.upgrading();
+        }
         long now = clock.micros();
         RequestView view = layout.view(http);
         asked.put(client, http.retain());
--- a/src/test/java/larkbank/sidecar/PluginLoopbackTest.java
+++ b/src/test/java/larkbank/sidecar/PluginLoopbackTest.java
@@ -19,9 +19,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import larkbank.testkit.Http;
 import larkbank.testkit.Modules;
 import larkbank.testkit.Stub;
+import larkbank.testkit.Ws;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -220,6 +222,32 @@
         assertTrue(one.seen.stream().allMatch(s -> "u".equals(s.request().headers().get("X-Log-Client"))));
     }
 
+    /** No way round a plug-in: an upgrade is asked about like any request, and what comes behind it waits. */
+    @Test
+    void upgradesAreAskedAboutToo() throws Exception {
+        AtomicInteger tunnels = new AtomicInteger();
+        Stub one = server(TunnelLoopback.chat(tunnels));
+        String socket = "[routes.search.websocket]\n";
+        String head = TunnelLoopback.UPGRADE + TunnelLoopback.CHAT + "User-Agent: planner\r\n";
+        harness = new Harness(folder);
+        open.add(harness);
+        harness.startWith(file(plugin("refuse", "refuse = true\n"), one) + socket);
+        Http.Message refused = harness.client().raw(Harness.Client.head("GET", "/search/1", 2_000, head, 0))
+                .answer();
+        assertEquals(503, refused.status());
+        assertEquals(0, tunnels.get());
+        harness.reload(file(plugin("log-header", "headers = [\"X-Log-Client\"]\ndeadline = \"1s\"\n"), one)
+                + socket);
+        Harness.Client client = harness.client().raw(Harness.Client.head("GET", "/search/1", 2_000, head, 0));
+        assertEquals(101, client.answer().status());
+        Ws ws = new Ws(client.socket, true);
+        assertEquals("hello", ws.text("hello").message().text());
+        assertEquals("planner", one.take().request().headers().get("X-Log-Client"));
+        // A route without WebSocket answers it as a plain request.
+        String book = Harness.Client.head("POST", "/book/1", 2_000, head, 1) + "x";
+        assertEquals(200, harness.client().raw(book).answer().status());
+    }
+
     /** A client that leaves and a SIGTERM while a plug-in still has the request. */
     @Test
     void leavingAndEndingWhileAPluginIsAsked() throws Exception {
