Twins of the last changes made one: cold share, gone entries, headers, run counts

Need: read once more, the change wrote some things again that stood already.

Change: the model of quiet instances uses Rules.coldShare; an entry of a list says itself how it looks as gone (ListFeed and CelledPool); explain and plugin run read -H in one place, so plugin run now joins fields of one name as the sidecar does; cells make their states in one place and look a keyed request up once; a header that a plug-in removes is an empty text from the start; the model hears of a run by one call. Two methods that nothing called are gone.

--- a/src/main/java/larkbank/cell/Cells.java
+++ b/src/main/java/larkbank/cell/Cells.java
@@ -100,7 +100,7 @@
     private final Floods floods;
     private CellsPlan plan;
     private int requests;
-    private CellState[] parts;
+    private CellState[] parts = {};
     /** Places of the sick cells. */
     private final BitSet sick = new BitSet();
     private Parting parting;
@@ -121,19 +121,21 @@
         this.actions = actions;
         floods = new Floods(this);
         repeats.begin(now);
-        take(now, plan, requests);
+        this.plan = plan;
+        this.requests = requests;
+        grow();
+        parting = new Parting(plan.cells(), plan.spread(), plan.keepMicros());
         placement = new Placement(plan.cells(), plan.assigned(), parting.open());
         order(now);
     }
 
-    private void take(long now, CellsPlan next, int bound) {
-        plan = next;
-        requests = bound;
-        parts = new CellState[next.cells().size()];
-        for (int i = 0; i < parts.length; i++) {
+    /** A state for each cell of the plan; those that there are stay. */
+    private void grow() {
+        int known = parts.length;
+        parts = Arrays.copyOf(parts, plan.cells().size());
+        for (int i = known; i < parts.length; i++) {
             parts[i] = new CellState();
         }
-        parting = new Parting(next.cells(), next.spread(), next.keepMicros());
     }
 
     /** The plan that holds. */
@@ -201,11 +203,7 @@
         requests = bound;
         CellsPlan before = plan;
         plan = next;
-        int parted = parts.length;
-        parts = Arrays.copyOf(parts, next.cells().size());
-        for (int i = parted; i < parts.length; i++) {
-            parts[i] = new CellState();
-        }
+        grow();
         List<Parting.Moved> moved = List.of();
         if (!before.cells().equals(next.cells()) || before.spread() != next.spread()
                 || before.keepMicros() != next.keepMicros()) {
@@ -293,11 +291,12 @@
         Moving m = moves.get(unit);
         if (m != null) {
             step(now, m);
-            if (effect != Effect.SAFE && known(now, t) < 0) {
+            boolean fresh = effect != Effect.SAFE && known(now, t) < 0;
+            if (fresh) {
                 t.retryAfter = m.refuses(now);
             }
-            if (t.retryAfter == 0 && effect == Effect.KEYED && m.plan.freezeMicros() > 0 && m.switched()
-                    && known(now, t) < 0) {
+            if (fresh && t.retryAfter == 0 && effect == Effect.KEYED && m.plan.freezeMicros() > 0
+                    && m.switched()) {
                 // What this process has not seen may have been at the old cell before the freeze.
                 t.retryAfter = Math.max(0, m.knownSince(repeats.completeSince())
                         + plan.windowMicros() - now);
@@ -306,8 +305,8 @@
                 inHand--;
                 return t;
             }
-            if (effect != Effect.SAFE && m.holds(now) && heldBy(m) < HELD
-                    && deadlineMicros - now > 2 * m.plan.fenceMicros() && known(now, t) < 0) {
+            if (fresh && m.holds(now) && heldBy(m) < HELD
+                    && deadlineMicros - now > 2 * m.plan.fenceMicros()) {
                 t.heldBy = m;
                 held.computeIfAbsent(m, x -> new LinkedHashSet<>()).add(t);
                 arm(now);
--- a/src/main/java/larkbank/cli/ExplainCommand.java
+++ b/src/main/java/larkbank/cli/ExplainCommand.java
@@ -1,8 +1,5 @@
 package larkbank.cli;
 
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import larkbank.operators.Explain;
@@ -28,8 +25,8 @@
             description = "the request to explain, such as 'GET http://host/path'")
     private String request;
 
-    @Option(names = "-H", paramLabel = "'NAME: VALUE'", description = "a header of the request")
-    private List<String> headers = List.of();
+    @Mixin
+    private HeaderOptions headers;
 
     @Override
     public Integer call() {
@@ -47,14 +44,11 @@
         if (space < 0) {
             return bad("--request takes a method and a target, such as 'GET http://host/path'");
         }
-        Map<String, String> fields = new LinkedHashMap<>();
-        for (String header : headers) {
-            int colon = header.indexOf(':');
-            if (colon < 1) {
-                return bad("-H takes a name and a value, such as 'Tenant: acme', not '" + header + "'");
-            }
-            fields.merge(header.substring(0, colon).toLowerCase(Locale.ROOT),
-                    header.substring(colon + 1).trim(), (a, b) -> a + ", " + b);
+        Map<String, String> fields;
+        try {
+            fields = headers.fields();
+        } catch (IllegalArgumentException e) {
+            return bad(e.getMessage());
         }
         try {
             out.print(Explain.request(operators, request.trim().substring(0, space),
--- /dev/null
+++ b/src/main/java/larkbank/cli/HeaderOptions.java
@@ -0,0 +1,34 @@
+package larkbank.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine.Option;
+
+/** The headers of a request that a command is about. */
+final class HeaderOptions {
+
+    @Option(names = "-H", paramLabel = "'NAME: VALUE'", description = "a header of the request")
+    private List<String> headers = List.of();
+
+    /**
+     * By name in small letters; fields of one name joined.
+     *
+     * @throws IllegalArgumentException with what is wrong with one of them
+     */
+    Map<String, String> fields() {
+        Map<String, String> fields = new LinkedHashMap<>();
+        for (String header : headers) {
+            int colon = header.indexOf(':');
+            if (colon < 1) {
+                throw new IllegalArgumentException("-H takes a name and a value, such as 'Tenant: acme',"
+                        + " not '"
+                        + header + "'");
+            }
+            fields.merge(header.substring(0, colon).toLowerCase(Locale.ROOT),
+                    header.substring(colon + 1).trim(), (a, b) -> a + ", " + b);
+        }
+        return fields;
+    }
+}
--- a/src/main/java/larkbank/cli/PluginRunCommand.java
+++ b/src/main/java/larkbank/cli/PluginRunCommand.java
@@ -1,6 +1,5 @@
 package larkbank.cli;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -35,8 +34,8 @@
     @Option(names = "--class", defaultValue = "", description = "the class that its route would give it")
     private String requestClass;
 
-    @Option(names = "-H", paramLabel = "'NAME: VALUE'", description = "a header of the request")
-    private List<String> headers = List.of();
+    @Mixin
+    private HeaderOptions headers;
 
     @Option(names = "--grant-header", paramLabel = "NAME", description = "a header that it may set or remove")
     private List<String> granted = List.of();
@@ -60,23 +59,19 @@
         if (space < 0) {
             return file.bad("--request takes a method and a path, such as 'GET /search/1'");
         }
-        Map<String, String> fields = new HashMap<>();
-        for (String header : headers) {
-            int colon = header.indexOf(':');
-            if (colon < 1) {
-                return file.bad("-H takes a name and a value, not '" + header + "'");
-            }
-            fields.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon
-                    + 1).trim());
+        Map<String, String> fields;
+        try {
+            fields = headers.fields();
+        } catch (IllegalArgumentException e) {
+            return file.bad(e.getMessage());
         }
         Set<String> names = new HashSet<>();
         granted.forEach(n -> names.add(n.toLowerCase(Locale.ROOT)));
         PluginGrant grant = new PluginGrant(names, Set.copyOf(classes), Set.of(), refuse);
         CompletableFuture<Wishes> wishes = new CompletableFuture<>();
         try (PluginHost host = new PluginHost(file.plan(module, grant, config), Runnable::run)) {
-            host.ask(new RequestView(request.trim().substring(0, space), request.trim().substring(space
-                    + 1).trim(),
-                    fields, requestClass), new PluginHost.Heard() {
+            host.ask(new RequestView(request.trim().substring(0, space), request.trim().substring(space + 1)
+                    .trim(), fields, requestClass), new PluginHost.Heard() {
                 @Override
                 public void done(Wishes w) {
                     wishes.complete(w);
--- a/src/main/java/larkbank/lab/Instance.java
+++ b/src/main/java/larkbank/lab/Instance.java
@@ -34,11 +34,8 @@
         /** It is sent to a server. */
         default void sent(Asked asked, Machine machine) { }
 
-        /** A server begins to run it. */
-        void runs(Asked asked);
-
         /** One sending of it begins or ends to run, in a cell. */
-        void ran(Asked asked, int cell, boolean begins);
+        default void ran(Asked asked, int cell, boolean begins) { }
 
         /** Its one answer; served or not. */
         void answered(Asked asked, boolean served);
@@ -174,7 +171,6 @@
         @Override
         public void runs() {
             asked.runs++;
-            account.runs(asked);
             account.ran(asked, part.cell, true);
         }
 
--- a/src/main/java/larkbank/lab/Laboratory.java
+++ b/src/main/java/larkbank/lab/Laboratory.java
@@ -194,17 +194,13 @@
 
     // ---- What comes of it
 
-    @Override
-    public void runs(Asked request) {
-        RequestClass c = CLASSES.get(request.requestClass);
-        if (c.effect() == Effect.UNSAFE && request.runs > 1) {
-            twice++;
-        }
-    }
-
     @Override
     public void ran(Asked request, int cell, boolean begins) {
-        if (!moves() || request.unit != 0 || CLASSES.get(request.requestClass).effect() != Effect.UNSAFE) {
+        if (CLASSES.get(request.requestClass).effect() != Effect.UNSAFE) {
+            return;
+        }
+        twice += begins && request.runs > 1 ? 1 : 0;
+        if (!moves() || request.unit != 0) {
             return;
         }
         running.merge(cell, begins ? 1 : -1, Integer::sum);
--- a/src/main/java/larkbank/lab/QuietLaboratory.java
+++ b/src/main/java/larkbank/lab/QuietLaboratory.java
@@ -8,6 +8,7 @@
 import larkbank.Ids;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Phase;
+import larkbank.LoadBalancer.Rules;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
 import larkbank.footprint.AskPacer;
@@ -18,9 +19,6 @@
 public final class QuietLaboratory implements Instance.Account {
 
     private static final long BEGIN = 1_000_000_000, SECOND = 1_000_000;
-    /** As the platform has it: a cold server does this part at first, all after so long, and never more. */
-    private static final double COLD_FROM = 0.31;
-    private static final long COLD_MICROS = 8_800_000;
     private static final int ZONES = 3;
     /** A call for the list takes so long; without a pace an instance that restarts asks at once. */
     private static final long CALL = 20_000;
@@ -204,9 +202,9 @@
     private double coldPeak() {
         double peak = 0;
         Machine machine = machines.get(coldId);
+        Rules rules = settings(0).rules();
         for (Map.Entry<Long, double[]> e : sentToCold.entrySet()) {
-            double age = e.getKey() * SECOND;
-            double part = Math.min(1, COLD_FROM + (1 - COLD_FROM) * age / COLD_MICROS);
+            double part = rules.coldShare(coldAt + e.getKey() * SECOND, coldAt);
             peak = Math.max(peak, e.getValue()[0] / 1e6 / (part * machine.capacity()));
         }
         return peak;
@@ -221,16 +219,6 @@
         }
     }
 
-    @Override
-    public void ran(Asked request, int cell, boolean begins) {
-        // Where requests run is the other experiment's matter.
-    }
-
-    @Override
-    public void runs(Asked request) {
-        // As above.
-    }
-
     @Override
     public void answered(Asked request, boolean served) {
         answered++;
--- a/src/main/java/larkbank/plugin/Visit.java
+++ b/src/main/java/larkbank/plugin/Visit.java
@@ -28,6 +28,7 @@
     private final Store store;
     private final Map<String, byte[]> puts = new LinkedHashMap<>();
     private final PluginPlan spec;
+    /** To set, or to remove where the value is empty. */
     private final Map<String, String> headers = new LinkedHashMap<>();
     private final List<String> notes = new ArrayList<>();
     private String requestClass;
@@ -43,17 +44,7 @@
     }
 
     Wishes wishes() {
-        return new Wishes(Map.copyOf(present()), requestClass, refusal, retryAfterMillis, List.copyOf(notes));
-    }
-
-    /**
-     * Map.copyOf takes no null, which stands for a header to remove: an empty text does, as no value is
-     * empty.
-     */
-    private Map<String, String> present() {
-        Map<String, String> all = new LinkedHashMap<>();
-        headers.forEach((name, value) -> all.put(name, value == null ? "" : value));
-        return all;
+        return new Wishes(Map.copyOf(headers), requestClass, refusal, retryAfterMillis, List.copyOf(notes));
     }
 
     /** Counts a call of the host; past the bound the visit ends in a trap. */
@@ -128,7 +119,8 @@
     }
 
     private String header(String lower) {
-        return headers.containsKey(lower) ? headers.get(lower) : request.headers().get(lower);
+        String own = headers.get(lower);
+        return own == null ? request.headers().get(lower) : own.isEmpty() ? null : own;
     }
 
     int setHeader(Memory memory, int name, int nameLength, int value, int valueLength) {
@@ -143,7 +135,7 @@
 
     int removeHeader(Memory memory, int name, int nameLength) {
         String key = text(memory, name, nameLength, MOST_NAME);
-        return key == null || !key.matches(TOKEN) ? MALFORMED : put(key, null, key.length());
+        return key == null || !key.matches(TOKEN) ? MALFORMED : put(key, "", key.length());
     }
 
     private int put(String name, String value, int size) {
--- a/src/main/java/larkbank/sidecar/CelledPool.java
+++ b/src/main/java/larkbank/sidecar/CelledPool.java
@@ -15,9 +15,7 @@
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Limits;
 import larkbank.LoadBalancer.ListKind;
-import larkbank.LoadBalancer.Phase;
 import larkbank.LoadBalancer.RequestClass;
-import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
 import larkbank.cell.Cells;
 import larkbank.cell.Cells.Ticket;
@@ -54,10 +52,6 @@
         cells = new Cells(plan.name(), plan.cells(), plan.requests(), shared.clock().micros(), this);
     }
 
-    Cells cells() {
-        return cells;
-    }
-
     @Override
     public boolean ready() {
         return pools.stream().anyMatch(Pool::ready);
@@ -228,7 +222,7 @@
                 continue;
             }
             if (before != null && before.cell != cell) {
-                parts.get(before.cell).add(0, gone(before.entry));
+                parts.get(before.cell).add(0, before.entry.gone());
             }
             parts.get(cell).add(e);
             known.put(id, new Known(e, cell));
@@ -236,7 +230,7 @@
         for (Moved m : moved) {
             Known before = known.get(m.server());
             if (before != null && before.cell != m.to()) {
-                parts.get(before.cell).add(0, gone(before.entry));
+                parts.get(before.cell).add(0, before.entry.gone());
                 parts.get(m.to()).add(before.entry);
                 known.put(m.server(), new Known(before.entry, m.to()));
             }
@@ -255,12 +249,6 @@
         return parts;
     }
 
-    private static ServerList.Entry gone(ServerList.Entry e) {
-        Server s = e.server();
-        return new ServerList.Entry(new Server(s.id(), s.zone(), s.kind(), s.cell(), Phase.REMOVED,
-                s.startMicros(), s.weight()), e.address());
-    }
-
     @Override
     public void failed() {
         pools.forEach(Pool::failed);
--- a/src/main/java/larkbank/sidecar/ListFeed.java
+++ b/src/main/java/larkbank/sidecar/ListFeed.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Phase;
-import larkbank.LoadBalancer.Server;
 
 /**
  * Hands what discovery tells to the pools. A large list goes in slices, a turn of the loop each, as changes
@@ -108,10 +107,8 @@
     private static List<ServerList.Entry> absent(ServerList known, Set<Long> named) {
         List<ServerList.Entry> absent = new ArrayList<>();
         known.entries().forEach(e -> {
-            Server s = e.server();
-            if (!named.contains(s.id())) {
-                absent.add(new ServerList.Entry(new Server(s.id(), s.zone(), s.kind(), s.cell(),
-                        Phase.REMOVED, s.startMicros(), s.weight()), e.address()));
+            if (!named.contains(e.server().id())) {
+                absent.add(e.gone());
             }
         });
         return absent;
--- a/src/main/java/larkbank/sidecar/ServerList.java
+++ b/src/main/java/larkbank/sidecar/ServerList.java
@@ -16,7 +16,14 @@
 /** Servers in discovery's form: the whole list, or what has changed. */
 record ServerList(long revision, boolean complete, List<Entry> entries) {
 
-    record Entry(Server server, InetSocketAddress address) { }
+    record Entry(Server server, InetSocketAddress address) {
+        /** The same server as gone. */
+        Entry gone() {
+            return new Entry(new Server(server.id(), server.zone(), server.kind(), server.cell(),
+                    Phase.REMOVED,
+                    server.startMicros(), server.weight()), address);
+        }
+    }
 
     List<Server> servers() {
         return entries.stream().map(Entry::server).toList();
