No request lost by a close: what the kernel holds is read first; builds played by turns

Cause: the loop chose what to close by what its last turn had read and by the clock. It shows on no idle machine.

--- /dev/null
+++ b/src/bench/java/larkbank/sidecar/CostBench.java
@@ -0,0 +1,66 @@
+package larkbank.sidecar;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import larkbank.testkit.Stub;
+
+/**
+ * What builds cost in processor time, by turns: until ready, for the first requests, and for one of the later
+ * ones. Arguments: how many starts of each, and folders of checkouts that were built as their
+ * {@code deploy/balancer.toml} says. One core, one client that asks again when it has an answer.
+ */
+public final class CostBench {
+
+    private static final int FIRST = 300, LATER = 3_000;
+
+    private CostBench() { }
+
+    private record Cost(double ready, double cpu, double first, double later) { }
+
+    public static void main(String[] args) throws Exception {
+        int rounds = Integer.parseInt(args[0]);
+        List<List<Cost>> costs = new ArrayList<>();
+        try (Stub server = new Stub(seen -> seen.reply("200 OK", "", "ok"));
+                Harness harness = new Harness(Files.createTempDirectory("cost"), server)) {
+            for (int round = 0; round < rounds; round++) {
+                for (int i = 1; i < args.length; i++) {
+                    if (round == 0) {
+                        costs.add(new ArrayList<>());
+                    }
+                    costs.get(i - 1).add(one(harness, Path.of(args[i])));
+                }
+            }
+        }
+        for (int i = 1; i < args.length; i++) {
+            List<Cost> c = costs.get(i - 1);
+            System.out.printf("%-24s ready %.3f s, CPU %.3f s; first %d requests %.0f us each, later %.0f us"
+                    + " (medians of %d)%n", Path.of(args[i]).getFileName(),
+                    StartBench.median(c.stream().map(Cost::ready).toList()),
+                    StartBench.median(c.stream().map(Cost::cpu).toList()), FIRST,
+                    StartBench.median(c.stream().map(Cost::first).toList()),
+                    StartBench.median(c.stream().map(Cost::later).toList()), rounds);
+        }
+    }
+
+    private static Cost one(Harness harness, Path checkout) throws Exception {
+        try (Served served = new Served(checkout, harness.file, "");
+                Harness.Client client = new Harness.Client(served.address)) {
+            double ready = served.cpuSeconds();
+            ask(client, FIRST);
+            double warm = served.cpuSeconds();
+            ask(client, LATER);
+            return new Cost(served.seconds, ready, (warm - ready) / FIRST * 1e6,
+                    (served.cpuSeconds() - warm) / LATER * 1e6);
+        }
+    }
+
+    private static void ask(Harness.Client client, int times) throws Exception {
+        for (int i = 0; i < times; i++) {
+            if (client.book("x", 2_000).answer().status() != 200) {
+                throw new IllegalStateException("a request was not served");
+            }
+        }
+    }
+}
--- a/src/bench/java/larkbank/sidecar/Served.java
+++ b/src/bench/java/larkbank/sidecar/Served.java
@@ -22,7 +22,12 @@
 
     /** With the arguments behind the command; on one core. */
     Served(Path config, String more) throws Exception {
-        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        this(Path.of(""), config, more);
+    }
+
+    /** The same of another checkout, which has been built. */
+    Served(Path checkout, Path config, String more) throws Exception {
+        Matcher run = RUN.matcher(Files.readString(checkout.resolve("deploy/balancer.toml")));
         if (!run.find()) {
             throw new IOException("deploy/balancer.toml has no run");
         }
@@ -32,7 +37,7 @@
         ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", run.group(1) + more);
         builder.environment().put("LB_CONFIG", config.toString());
         builder.environment().put("LB_LISTEN", "127.0.0.1:" + address.getPort());
-        builder.inheritIO();
+        builder.directory(checkout.toAbsolutePath().toFile()).inheritIO();
         long since = System.nanoTime();
         process = builder.start();
         awaitReady();
--- a/src/bench/java/larkbank/sidecar/StartBench.java
+++ b/src/bench/java/larkbank/sidecar/StartBench.java
@@ -58,7 +58,7 @@
                 median(starts.stream().map(Start::megabytes).toList()), starts.size());
     }
 
-    private static double median(List<Double> values) {
+    static double median(List<Double> values) {
         List<Double> sorted = new ArrayList<>(values);
         Collections.sort(sorted);
         return sorted.get(sorted.size() / 2);
--- a/src/main/java/larkbank/sidecar/ClientConnection.java
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -38,6 +38,8 @@
     private static final long REQUEST_MILLIS = 2_000;
     /** Without a request in hand, since the last answer. */
     private static final long IDLE_MILLIS = 5_000;
+    /** A connection that has said nothing for so long goes before one that was answered. */
+    private static final long SILENT_MILLIS = 1_000;
     /** An answer that the client does not take in this time is given up. */
     private static final long WRITE_MILLIS = 5_000;
     /**
@@ -53,19 +55,23 @@
     private final ClientServer.Door door;
     private final Channel channel;
     private final Decoder decoder;
-    private final long openedAt = System.nanoTime();
+    private final long openedAt;
     /** Waits for the answer to the request in hand. */
     private Exchange client;
     private FullHttpRequest whole;
     private boolean more;
     /** A request is awaited: it is the first, or has begun to come. */
     private boolean awaited = true;
-    private long awaitedSince = openedAt;
+    private long awaitedSince;
+    /** Reads that brought something, and the time of the last one. */
+    private long heard;
     private long heardAt;
     private boolean writing;
     private long answeredAt;
     /** Nothing that comes counts any more. */
     private boolean deaf;
+    /** Something failed while a request was dealt with. */
+    private boolean broken;
     /** What came behind a request for an upgrade. */
     private final Link.Early early = new Link.Early();
     /** The connection has gone over to another protocol, and nothing of it is dealt with here. */
@@ -75,6 +81,8 @@
         this.server = server;
         this.door = door;
         this.channel = channel;
+        openedAt = server.now();
+        awaitedSince = openedAt;
         decoder = new Decoder(server.service()::upgrades);
     }
 
@@ -91,17 +99,47 @@
         channel.close();
     }
 
+    void readNow() {
+        ClientServer.readNow(channel);
+    }
+
+    /**
+     * Closes, unless something has come that the loop has not seen yet; whether it closes. A request that
+     * lies in the kernel is taken: closing over it would reset the connection and lose it. What comes from
+     * now on finds the connection closed, as the protocol allows between requests. One that was told its end
+     * goes once what it sent is read, lest the reset overtake its answer.
+     */
+    boolean closeIfSilent() {
+        long before = heard;
+        readNow();
+        if (owed() || !deaf && heard != before) {
+            return false;
+        }
+        channel.close();
+        return true;
+    }
+
+    /** Whether a request is in hand, or an answer on its way. */
+    private boolean owed() {
+        return client != null || writing;
+    }
+
     long waitingBytes() {
         return Link.waitingBytes(channel);
     }
 
-    /** Whether nothing is owed on it, and it is older than that. */
+    /** Whether nothing is owed on it, no request has come in part, and it is older than that. */
     boolean quiet(long millis) {
-        return client == null && !writing && !switched && age() > millis;
+        return !owed() && !switched && !coming() && age() > millis;
+    }
+
+    /** Whether a request has begun to come; it has its own time to come whole. */
+    private boolean coming() {
+        return awaited && heard > 0 && !deaf;
     }
 
     private long age() {
-        return ClientServer.millisSince(openedAt);
+        return server.millisSince(openedAt);
     }
 
     @Override
@@ -120,7 +158,8 @@
 
     /** Whether what comes now is to be read. */
     private boolean lets() {
-        heardAt = System.nanoTime();
+        heardAt = server.now();
+        heard++;
         if (client != null && !deaf && client.upgrading) {
             return true;
         }
@@ -148,7 +187,7 @@
     /** Since its last answer, if it waits for nothing and nothing of a request has come; else 0. */
     long idleMillis() {
         return client != null || writing || deaf || awaited || switched ? 0
-                : ClientServer.millisSince(answeredAt);
+                : server.millisSince(answeredAt);
     }
 
     void checkTimes() {
@@ -156,33 +195,43 @@
             return;
         }
         if (writing) {
-            closeAfter(answeredAt, WRITE_MILLIS);
+            if (server.millisSince(answeredAt) > WRITE_MILLIS) {
+                channel.close();
+            }
         } else if (deaf) {
             closeAfter(answeredAt, LINGER_MILLIS);
             closeAfter(Math.max(heardAt, answeredAt), LINGER_QUIET_MILLIS);
         } else if (!awaited) {
             closeAfter(answeredAt, IDLE_MILLIS);
-        } else if (heardAt == 0) {
-            closeAfter(awaitedSince, REQUEST_MILLIS);
-        } else if (ClientServer.millisSince(awaitedSince) > REQUEST_MILLIS) {
+        } else if (heard == 0) {
+            closeAfter(openedAt, REQUEST_MILLIS);
+        } else if (server.millisSince(awaitedSince) > REQUEST_MILLIS && !restComes()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
         }
     }
 
+    /** Whether the rest of a request was there and not read yet. */
+    private boolean restComes() {
+        readNow();
+        return owed() || !awaited;
+    }
+
     private void closeAfter(long since, long millis) {
-        if (ClientServer.millisSince(since) > millis) {
-            channel.close();
+        if (server.millisSince(since) > millis) {
+            closeIfSilent();
         }
     }
 
     /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
     double spare() {
-        if (client != null || writing || switched || age() <= ClientServer.QUIET_MILLIS) {
+        if (owed() || switched || coming() || age() <= ClientServer.QUIET_MILLIS) {
             return 0;
         }
-        double kind = deaf ? 3 : heardAt == 0 ? 2 : awaited ? 0 : 1;
-        long idle = ClientServer.millisSince(Math.max(openedAt, answeredAt));
-        return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + idle);
+        // A client that is late itself brings the first request of a connection late, and it has no second
+        // try as one on a kept connection has.
+        double kind = deaf ? 4 : !awaited ? 2 : age() > SILENT_MILLIS ? 3 : 1;
+        long idle = server.millisSince(Math.max(openedAt, answeredAt));
+        return kind + 1 - 1 / (1.0 + idle);
     }
 
     /** Bytes as they came: what is behind a request for an upgrade, or all, once that was agreed to. */
@@ -280,9 +329,10 @@
             context.close();
         } else if (client != null) {
             server.log("client connection: " + cause);
+            // Closed once the answer is written: closing here could cut it.
+            broken = true;
             client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
                     Unpooled.EMPTY_BUFFER);
-            context.close();
         } else {
             reject(HttpResponseStatus.BAD_REQUEST, "not HTTP");
         }
@@ -312,7 +362,7 @@
                 return;
             }
             client = null;
-            deaf = !keep || upgrading || server.endsAfterAnswer(door);
+            deaf = !keep || upgrading || broken || server.endsAfterAnswer(door);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                     headers, new DefaultHttpHeaders());
             HttpUtil.setContentLength(response, content.readableBytes());
@@ -320,7 +370,7 @@
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
             }
             writing = true;
-            answeredAt = System.nanoTime();
+            answeredAt = server.now();
             channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
         }
 
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.Future;
@@ -20,9 +21,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 
-/** The listening side: reads clients' requests, writes their answers, and closes down without losing any. */
+/**
+ * The listening side: reads clients' requests, writes their answers, and closes down without losing any.
+ *
+ * <p>A request counts as taken once its last byte is in the kernel of this machine, read or not, and turns of
+ * the loop can be long. So nothing that a client might still be answered on is closed by what the last turn
+ * saw: what the kernel holds is read first, of connections as of the listening socket.
+ */
 final class ClientServer {
 
     /** What stands behind the connections. */
@@ -56,6 +64,7 @@
     private static final long SWEEP_MILLIS = 25;
 
     private final EventLoop loop;
+    private final LongSupplier nanos;
     private final Service service;
     private final int most;
     private boolean sweeping;
@@ -73,10 +82,11 @@
         /** It goes: its connections end after their answers. */
         private boolean closing;
         private long closingSince;
-        private long acceptedAt = System.nanoTime();
+        private long acceptedAt;
 
-        private Door(Channel channel) {
+        private Door(Channel channel, long now) {
             this.channel = channel;
+            acceptedAt = now;
         }
 
         /** Where it listens, once that is so. */
@@ -86,7 +96,13 @@
     }
 
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
+        this(loop, service, most, log, System::nanoTime);
+    }
+
+    /** With another clock, in nanoseconds from any origin. */
+    ClientServer(EventLoop loop, Service service, int most, Consumer<String> log, LongSupplier nanos) {
         this.loop = loop;
+        this.nanos = nanos;
         this.service = service;
         this.most = most;
         this.log = log;
@@ -107,7 +123,7 @@
                         new ClientConnection(ClientServer.this, door[0], c).begin();
                     }
                 }).bind(address);
-        door[0] = new Door(bound.channel());
+        door[0] = new Door(bound.channel(), now());
         bound.addListener(f -> {
             if (f.isSuccess()) {
                 doors.add(door[0]);
@@ -123,8 +139,13 @@
         return open;
     }
 
-    /** Closes all at once, whoever waits; the address is free when that is done. */
+    /**
+     * Closes all at once, whoever waits; the address is free when that is done. What has come whole is handed
+     * to the service before, which may answer it at once.
+     */
     Future<Void> close() {
+        doors.forEach(door -> readNow(door.channel));
+        List.copyOf(connections).forEach(ClientConnection::readNow);
         List.copyOf(connections).forEach(ClientConnection::close);
         List.copyOf(switched).forEach(ClientConnection::close);
         Future<Void> last = loop.newSucceededFuture(null);
@@ -158,31 +179,46 @@
     void end(Door door, Runnable ended) {
         loop.schedule(() -> {
             door.closing = true;
-            door.closingSince = System.nanoTime();
-            endQuiet(door, ended);
+            door.closingSince = now();
+            endQuietly(door, ended);
         }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void endQuiet(Door door, Runnable ended) {
+    void endQuietly(Door door, Runnable ended) {
         connections.stream().filter(c -> c.door() == door && c.quiet(QUIET_MILLIS)).toList()
-                .forEach(ClientConnection::close);
-        boolean allIn = door.channel.config().isAutoRead()
-                || millisSince(door.closingSince) > FULL_MILLIS;
-        if (millisSince(door.acceptedAt) > QUIET_MILLIS && allIn) {
-            door.channel.close();
+                .forEach(ClientConnection::closeIfSilent);
+        if (door.channel.isOpen() && mayShut(door)) {
+            // Those that have connected since the loop looked last would be reset.
+            readNow(door.channel);
+            if (mayShut(door)) {
+                door.channel.close();
+            }
         }
         if (!door.channel.isOpen() && Stream.concat(connections.stream(), switched.stream())
                 .noneMatch(c -> c.door() == door)) {
             doors.remove(door);
             ended.run();
         } else {
-            loop.schedule(() -> endQuiet(door, ended), SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> endQuietly(door, ended), SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean mayShut(Door door) {
+        boolean allIn = door.channel.config().isAutoRead()
+                || millisSince(door.closingSince) > FULL_MILLIS;
+        return millisSince(door.acceptedAt) > QUIET_MILLIS && allIn;
+    }
+
+    /** Takes in what the kernel holds for a channel: bytes of a connection, or connections of a door. */
+    static void readNow(Channel channel) {
+        if (channel.isActive()) {
+            ((AbstractNioChannel) channel).unsafe().read();
         }
     }
 
     /** A connection was accepted. */
     void opened(ClientConnection connection) {
-        connection.door().acceptedAt = System.nanoTime();
+        connection.door().acceptedAt = now();
         connections.add(connection);
         makeRoom();
     }
@@ -223,12 +259,17 @@
         log.accept(line);
     }
 
-    static long millisSince(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    /** Nanoseconds from any origin. */
+    long now() {
+        return nanos.getAsLong();
+    }
+
+    long millisSince(long then) {
+        return TimeUnit.NANOSECONDS.toMillis(now() - then);
     }
 
     /** One look at all connections in place of timers for each, of which a flood would leave thousands. */
-    private void sweep() {
+    void sweep() {
         for (ClientConnection c : List.copyOf(connections)) {
             c.checkTimes();
         }
@@ -247,7 +288,7 @@
         if (surplus > 0) {
             connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
                     .sorted(Comparator.comparingLong(ClientConnection::idleMillis).reversed()).limit(surplus)
-                    .toList().forEach(ClientConnection::close);
+                    .toList().forEach(ClientConnection::closeIfSilent);
         }
     }
 
@@ -263,21 +304,29 @@
      * to be kept here, not by the pace.
      */
     private void makeRoom() {
-        ClientConnection victim = null;
-        if (size() >= most) {
+        boolean made = size() >= most && spareOne();
+        accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - size())));
+        boolean room = made || size() < most;
+        for (Door door : doors) {
+            door.channel.config().setAutoRead(room);
+        }
+    }
+
+    /**
+     * Closes the connection that can be spared best; one on which something has come meanwhile can't be
+     * spared any more, and the next best is looked at.
+     */
+    private boolean spareOne() {
+        while (true) {
+            ClientConnection victim = null;
             for (ClientConnection c : connections) {
                 if (c.spare() > (victim == null ? 0 : victim.spare())) {
                     victim = c;
                 }
             }
-            if (victim != null) {
-                victim.close();
+            if (victim == null || victim.closeIfSilent()) {
+                return victim != null;
             }
         }
-        accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - size())));
-        boolean room = victim != null || size() < most;
-        for (Door door : doors) {
-            door.channel.config().setAutoRead(room);
-        }
     }
 }
