Bad files end with one line; plug-ins are warm and judged by processor time; help everywhere

Need: 200,000 open brackets ended check with a stack trace of 1,025 lines; max_queue above max_requests passed; check needed settings that a new user has not got; a plug-in that refuses was passed by in its first calls or whenever the machine was busy, since 5 ms by the clock had passed (aBadReloadLeavesTheOldInPlace had 200 for 503).

--- a/src/main/java/larkbank/Main.java
+++ b/src/main/java/larkbank/Main.java
@@ -21,7 +21,8 @@
     }
 
     private static int usage() {
-        System.err.println("usage: java -jar larkbank.jar serve|simhost|check|explain|lab|plugin|help");
+        System.err.println(
+                "usage: java -jar larkbank.jar serve|simhost|check|explain|lab|plugin|help [--help]");
         return 2;
     }
 }
--- a/src/main/java/larkbank/cli/CommandLineTool.java
+++ b/src/main/java/larkbank/cli/CommandLineTool.java
@@ -5,7 +5,8 @@
 import picocli.CommandLine.HelpCommand;
 
 /** The command line: what takes more than one word. One class a command. */
-@Command(name = "larkbank", description = "A client-side load balancer.", synopsisSubcommandLabel = "COMMAND",
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "larkbank", description = "A client-side load balancer.", synopsisSubcommandLabel = "COMMAND",
         subcommands = {ServeCommand.class, CheckCommand.class, ExplainCommand.class, LabCommand.class,
                 PluginCommand.class,
                 HelpCommand.class})
--- a/src/main/java/larkbank/cli/ExplainCommand.java
+++ b/src/main/java/larkbank/cli/ExplainCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Spec;
 
 /** {@code explain FILE}: what is in force, or what happens to one request. */
-@Command(name = "explain", description = "Say what is in force and where each value comes from.")
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "explain", description = "Say what is in force and where each value comes from.")
 final class ExplainCommand implements Callable<Integer> {
 
     @Spec
--- a/src/main/java/larkbank/cli/Installed.java
+++ b/src/main/java/larkbank/cli/Installed.java
@@ -1,10 +1,14 @@
 package larkbank.cli;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import larkbank.operators.AssumedFacts;
 import larkbank.operators.BadFile;
+import larkbank.operators.Facts;
 import larkbank.operators.Operators;
 import larkbank.sidecar.Installation;
 import picocli.CommandLine.Model.CommandSpec;
@@ -22,9 +26,21 @@
     private Path file;
 
     @Option(names = "--config", paramLabel = "CONFIG",
-            description = "the sidecar's configuration, whose settings hold (default: LB_CONFIG)")
+            description = "the sidecar's configuration, whose settings hold (default: LB_CONFIG; without"
+                    + " either, what needs no settings is looked at)")
     private Path config;
 
+    private Facts facts(Map<String, String> environment) throws IOException {
+        if (!environment.getOrDefault("LB_CONFIG", "").isEmpty()) {
+            return Installation.facts(environment);
+        }
+        command.commandLine().getErr().println("larkbank: without settings (--config or LB_CONFIG) these"
+                + " were not looked at: " + AssumedFacts.NOT_LOOKED_AT);
+        // What can't be read is said when it is loaded.
+        return AssumedFacts.of(Files.isReadable(file) && !Files.isDirectory(file)
+                ? new String(Files.readAllBytes(file), StandardCharsets.UTF_8) : "");
+    }
+
     /** Reads and checks; says on standard error what is wrong, and then gives null. */
     Operators load() {
         Map<String, String> environment = new HashMap<>(System.getenv());
@@ -32,7 +48,7 @@
             environment.put("LB_CONFIG", config.toString());
         }
         try {
-            return Operators.load(file, Installation.facts(environment));
+            return Operators.load(file, facts(environment));
         } catch (BadFile e) {
             command.commandLine().getErr().println(e.getMessage());
         } catch (IOException e) {
--- a/src/main/java/larkbank/cli/LabCellsCommand.java
+++ b/src/main/java/larkbank/cli/LabCellsCommand.java
@@ -15,7 +15,8 @@
 /**
  * {@code lab cells}: plays a fleet in made-up time, with the real decisions, once for each number of cells.
  */
-@Command(name = "cells", description = "Play a fleet that meets harm: how far it reaches with so many"
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "cells", description = "Play a fleet that meets harm: how far it reaches with so many"
         + " cells.")
 final class LabCellsCommand implements Callable<Integer> {
 
--- a/src/main/java/larkbank/cli/LabQuietCommand.java
+++ b/src/main/java/larkbank/cli/LabQuietCommand.java
@@ -11,7 +11,8 @@
 import picocli.CommandLine.Spec;
 
 /** {@code lab quiet}: plays thousands of quiet instances, once with a watch and once at a rate of calls. */
-@Command(name = "quiet", description = "Play thousands of quiet instances: what they ask of discovery and of"
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "quiet", description = "Play thousands of quiet instances: what they ask of discovery and of"
         + " a cold server.")
 final class LabQuietCommand implements Callable<Integer> {
 
--- a/src/main/java/larkbank/cli/PluginCheckCommand.java
+++ b/src/main/java/larkbank/cli/PluginCheckCommand.java
@@ -10,7 +10,8 @@
 import picocli.CommandLine.Mixin;
 
 /** {@code plugin check FILE}: whether a module is a plug-in that this program can run. */
-@Command(name = "check", description = "Compile and start a module; exit status 0, or 2 with the reason.")
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "check", description = "Compile and start a module; exit status 0, or 2 with the reason.")
 final class PluginCheckCommand implements Callable<Integer> {
 
     @Mixin
--- a/src/main/java/larkbank/cli/PluginRunCommand.java
+++ b/src/main/java/larkbank/cli/PluginRunCommand.java
@@ -20,7 +20,8 @@
 import picocli.CommandLine.Option;
 
 /** {@code plugin run FILE --request ...}: what a module would change of one request. */
-@Command(name = "run", description = "Show what a module wishes for one request.")
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "run", description = "Show what a module wishes for one request.")
 final class PluginRunCommand implements Callable<Integer> {
 
     private static final long PATIENCE_MILLIS = 1_000;
--- /dev/null
+++ b/src/main/java/larkbank/operators/AssumedFacts.java
@@ -0,0 +1,99 @@
+package larkbank.operators;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.Limits;
+import larkbank.LoadBalancer.ReportSource;
+import larkbank.LoadBalancer.RequestClass;
+import larkbank.LoadBalancer.Rules;
+import larkbank.LoadBalancer.Settings;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlTable;
+
+/**
+ * Facts where no settings are at hand: each name that a file uses is taken to exist and the settings to
+ * forbid nothing, so that all that needs no settings can still be looked at.
+ */
+public final class AssumedFacts {
+
+    /** What is not looked at, for people. */
+    public static final String NOT_LOOKED_AT = "classes, zones, models and tenants by their names, effects"
+            + " and deadlines of classes, and what the settings allow";
+
+    private static final long LONGEST = 3_600_000_000L;
+    private static final int MANY = 1_000_000;
+    private static final Set<String> CLASS_KEYS = Set.of("class", "classes");
+
+    private final Set<String> classes = new TreeSet<>();
+    private final Set<String> zones = new TreeSet<>();
+    private final Set<String> models = new TreeSet<>();
+
+    private AssumedFacts() { }
+
+    /** The facts that a file takes for granted; of a text that is no TOML, hardly any. */
+    public static Facts of(String text) {
+        AssumedFacts found = new AssumedFacts();
+        if (Shape.fits(text, new Problems(""))) {
+            found.top(Toml.parse(text));
+        }
+        if (found.classes.isEmpty()) {
+            found.classes.add("any");
+        }
+        List<RequestClass> made = found.classes.stream().map(n -> new RequestClass(n, Effect.SAFE, Group.ALL,
+                LONGEST, LONGEST, 0, LONGEST, 1, 1, false)).toList();
+        Settings settings = new Settings(0, 0, MANY, 0, List.copyOf(found.zones), made, List.of(), 1, 0,
+                new Limits(100, true, true, true, LONGEST, LONGEST, MANY, MANY, true, MANY),
+                new Rules(1, 0, 0, 0, 0, 0, 0), ReportSource.NONE, false, false, 1_000);
+        return new Facts(settings, List.copyOf(found.zones), List.copyOf(found.models), MANY,
+                new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    private void top(TomlTable toml) {
+        if (toml.get(List.of("classes")) instanceof TomlTable sections) {
+            classes.addAll(sections.keySet());
+        }
+        for (String kind : List.of("routes", "plugins", "pools")) {
+            if (toml.get(List.of(kind)) instanceof TomlTable sections) {
+                sections.keySet().forEach(name -> {
+                    if (sections.get(List.of(name)) instanceof TomlTable section) {
+                        section(section);
+                    }
+                });
+            }
+        }
+    }
+
+    private void section(TomlTable section) {
+        CLASS_KEYS.forEach(key -> names(section.get(List.of(key)), classes));
+        if (section.get(List.of("weaken")) instanceof TomlArray pairs) {
+            for (int i = 0; i < pairs.size(); i++) {
+                if (pairs.get(i) instanceof String pair) {
+                    classes.addAll(List.of(pair.split(">", -1)));
+                }
+            }
+        }
+        if (section.get(List.of("servers")) instanceof TomlArray servers) {
+            for (int i = 0; i < servers.size(); i++) {
+                if (servers.get(i) instanceof TomlTable server) {
+                    names(server.get(List.of("zone")), zones);
+                    names(server.get(List.of("model")), models);
+                }
+            }
+        }
+    }
+
+    private static void names(Object value, Set<String> found) {
+        if (value instanceof String name) {
+            found.add(name);
+        } else if (value instanceof TomlArray list) {
+            for (int i = 0; i < list.size(); i++) {
+                names(list.get(i), found);
+            }
+        }
+    }
+}
--- a/src/main/java/larkbank/operators/Checks.java
+++ b/src/main/java/larkbank/operators/Checks.java
@@ -53,6 +53,9 @@
         }
         file.pools().values().stream().filter(p -> p.cells() != null)
                 .forEach(p -> new CellsChecks(facts, file, p, problems).run());
+        file.pools().values().forEach(p -> queue("pool", p.name(), p.limits()));
+        file.classes().values().forEach(c -> queue("class", c.name(), c.limits()));
+        file.routes().forEach(r -> queue("route", r.name(), r.limits()));
         if (file.fleet() != null) {
             fleet(file.fleet());
         }
@@ -233,6 +236,16 @@
         }
     }
 
+    /** What waits is in hand: a queue beyond what may be in hand promises room that there is not. */
+    private void queue(String kind, String name, LimitSet limits) {
+        Setting<Long> queue = limits.number(LimitKey.MAX_QUEUE);
+        Setting<Long> all = limits.number(LimitKey.MAX_REQUESTS);
+        if (queue != null && all != null && queue.value() > all.value()) {
+            problems.add(queue.line(), "'max_queue' of " + kind + " '" + name + "' is " + queue.value()
+                    + ", and 'max_requests' allows " + all.value() + " in hand (line " + all.line() + ")");
+        }
+    }
+
     private static List<LimitSet> sets(RouteSection route, ClassSection own, PoolSection pool) {
         List<LimitSet> sets = new ArrayList<>(List.of(route.limits()));
         if (own != null) {
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -80,9 +80,15 @@
 
     private static Operators load(String name, Path folder, String text, Facts facts) throws BadFile {
         Problems problems = new Problems(name);
-        OperatorsFile file = new OperatorsReader(facts, folder, problems).read(text);
-        if (file != null) {
-            new Checks(facts, file, problems).run();
+        OperatorsFile file = null;
+        try {
+            file = new OperatorsReader(facts, folder, problems).read(text);
+            if (file != null) {
+                new Checks(facts, file, problems).run();
+            }
+        } catch (StackOverflowError e) {
+            // The parser follows some forms by calls of its own that are not brackets.
+            problems.add(1, "nested too deep");
         }
         if (!problems.none()) {
             throw new BadFile(problems.sorted());
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -63,6 +63,9 @@
 
     /** Null where the text is no TOML. */
     OperatorsFile read(String text) {
+        if (!Shape.fits(text, problems)) {
+            return null;
+        }
         TomlParseResult toml = Toml.parse(text);
         if (toml.hasErrors()) {
             toml.errors().forEach(e -> problems.add(e.position().line(),
--- a/src/main/java/larkbank/operators/PluginsReader.java
+++ b/src/main/java/larkbank/operators/PluginsReader.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import larkbank.LoadBalancer.Effect;
 import larkbank.operators.OperatorsFile.PluginSection;
 import larkbank.route.PluginGrant;
 import larkbank.route.PluginPlan;
@@ -39,6 +40,11 @@
         }
         PluginGrant grant = new PluginGrant(headers(section), classes(section), weaken(section),
                 Boolean.TRUE.equals(section.flag("refuse")));
+        if (failure == null && decides(grant)) {
+            section.problems().add(section.line(), "[" + section.title() + "] may refuse or make a class"
+                    + " stricter and lacks 'on_failure': \"closed\" refuses what it was not asked about,"
+                    + " \"open\" lets it pass");
+        }
         Map<String, String> config = new HashMap<>();
         Section given = section.table("config");
         if (given != null) {
@@ -95,6 +101,12 @@
         return names == null ? Set.of() : Set.copyOf(new HashSet<>(names));
     }
 
+    /** Whether a request that it is not asked about may go where it would not have let it. */
+    private boolean decides(PluginGrant grant) {
+        return grant.refuse() || grant.classes().stream().flatMap(c -> facts.requestClass(c).stream())
+                .anyMatch(c -> c.effect() != Effect.SAFE);
+    }
+
     private void known(Section section, String key, String name) {
         if (facts.requestClass(name).isEmpty()) {
             section.problem(key, "the settings have no class '" + name + "'"
--- a/src/main/java/larkbank/plugin/PluginHost.java
+++ b/src/main/java/larkbank/plugin/PluginHost.java
@@ -1,7 +1,10 @@
 package larkbank.plugin;
 
 import com.dylibso.chicory.runtime.ChicoryInterruptedException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +25,11 @@
     /** Calls that wait for the thread; beyond, one fails at once. */
     static final int WAITING = 256;
     private static final long STACK = 512 * 1024, BEGIN_MILLIS = 2_000;
+    /** Calls with a made-up request before the first real one, and how long they may take. */
+    private static final int WARM_CALLS = 200;
+    private static final long WARM_MILLIS = 150;
+    private static final RequestView MADE_UP = new RequestView("GET", "/", Map.of(), "");
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     /** What is heard of a call, once, unless it is withdrawn. */
     public interface Heard {
@@ -38,12 +46,19 @@
         private final RequestView request;
         private final Heard heard;
         private final AtomicReference<State> state = new AtomicReference<>(State.WAITS);
+        private final long usedBefore = usedMicros();
 
         private Call(RequestView request, Heard heard) {
             this.request = request;
             this.heard = heard;
         }
 
+        /** Microseconds of a processor that the plug-in's thread had since this was asked; -1 if unknown. */
+        public long used() {
+            long now = usedMicros();
+            return now < 0 || usedBefore < 0 ? -1 : now - usedBefore;
+        }
+
         /** Nobody waits for it any more; true where it was not over, and then nothing is heard of it. */
         public boolean withdraw() {
             if (state.compareAndSet(State.WAITS, State.WITHDRAWN)) {
@@ -63,6 +78,7 @@
     private final BlockingQueue<Call> calls = new ArrayBlockingQueue<>(WAITING);
     private final Thread thread;
     private final CompletableFuture<Void> begun = new CompletableFuture<>();
+    private final CompletableFuture<Void> warm = new CompletableFuture<>();
     private volatile boolean closed;
 
     /**
@@ -80,6 +96,7 @@
         thread.start();
         try {
             begun.get(BEGIN_MILLIS, TimeUnit.MILLISECONDS);
+            awaitWarm();
         } catch (ExecutionException e) {
             close();
             throw e.getCause() instanceof BadPlugin b ? b
@@ -94,6 +111,20 @@
         }
     }
 
+    /** A plug-in that does not come back from a made-up request is stopped there, as in a real one. */
+    private void awaitWarm() throws InterruptedException, ExecutionException {
+        try {
+            warm.get(WARM_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            thread.interrupt();
+        }
+    }
+
+    private long usedMicros() {
+        long nanos = THREADS.isThreadCpuTimeSupported() ? THREADS.getThreadCpuTime(thread.getId()) : -1;
+        return nanos < 0 ? -1 : nanos / 1_000;
+    }
+
     /** The plug-in that it runs. */
     public PluginPlan plan() {
         return spec;
@@ -119,11 +150,13 @@
         try {
             guest.begin();
             begun.complete(null);
+            warmUp();
         } catch (BadPlugin | RuntimeException | AssertionError | LinkageError | StackOverflowError
                 | OutOfMemoryError e) {
             begun.completeExceptionally(e);
             return;
         }
+        warm.complete(null);
         while (!closed) {
             try {
                 serve(calls.take());
@@ -134,6 +167,24 @@
         }
     }
 
+    /**
+     * The first calls are the slowest by far, and would be the ones that fail. Nothing of these is kept: what
+     * they wish and put is dropped, and requests meet a fresh instance.
+     */
+    private void warmUp() throws BadPlugin {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WARM_MILLIS / 2);
+        try {
+            for (int i = 0; i < WARM_CALLS && System.nanoTime() < end; i++) {
+                guest.onRequest(MADE_UP);
+            }
+        } catch (RuntimeException | AssertionError | LinkageError | StackOverflowError
+                | OutOfMemoryError e) {
+            // It may be right to trap at such a request; a real one shows it.
+            Thread.interrupted();
+        }
+        guest.begin();
+    }
+
     private void serve(Call call) {
         if (!call.state.compareAndSet(State.WAITS, State.RUNS)) {
             return;
--- a/src/main/java/larkbank/sidecar/PluginChain.java
+++ b/src/main/java/larkbank/sidecar/PluginChain.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import larkbank.plugin.BadPlugin;
 import larkbank.plugin.Conduct;
+import larkbank.plugin.Patience;
 import larkbank.plugin.PluginHost;
 import larkbank.plugin.RequestView;
 import larkbank.plugin.Wishes;
@@ -138,11 +139,32 @@
                     fail(member, why);
                 }
             });
-            patience[0] = loop.schedule(() -> {
-                if (call.withdraw()) {
+            new Wait(member, call, patience).look();
+        }
+
+        /** Looks now and then whether a call is out of time. */
+        private final class Wait {
+            private final Member member;
+            private final PluginHost.Call call;
+            private final Future<?>[] next;
+            private final Patience patience;
+            private final long since = clock.micros();
+
+            Wait(Member member, PluginHost.Call call, Future<?>[] next) {
+                this.member = member;
+                this.call = call;
+                this.next = next;
+                patience = new Patience(member.plan().deadlineMicros());
+            }
+
+            void look() {
+                long more = patience.more(clock.micros() - since, call.used());
+                if (more > 0) {
+                    next[0] = loop.schedule(this::look, more, TimeUnit.MICROSECONDS);
+                } else if (call.withdraw()) {
                     fail(member, "no answer in time");
                 }
-            }, member.plan().deadlineMicros(), TimeUnit.MICROSECONDS);
+            }
         }
 
         private void take(Member member, Wishes wishes) {
--- a/src/test/java/larkbank/cli/CommandLineToolTest.java
+++ b/src/test/java/larkbank/cli/CommandLineToolTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import picocli.CommandLine;
 
 /** Commands, their exit status, and what they say where. */
@@ -98,6 +99,49 @@
         assertEquals(1, err.toString().lines().count(), err.toString());
     }
 
+    /** As the example's own first lines say it. */
+    @ParameterizedTest
+    @CsvSource({"deploy/operators.example.toml, true", "deploy/operators.example.toml, false"})
+    void theExampleIsRight(String example, boolean assumed) {
+        var line = new CommandLine(new CommandLineTool()).setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true));
+        assertEquals(0, assumed ? line.execute("check", example)
+                : line.execute("check", example, "--config", "deploy/operators.example.json"));
+        assertEquals(assumed ? 1 : 0, err.toString().lines().count(), err.toString());
+        assertEquals(assumed, err.toString().contains("without settings"));
+    }
+
+    /** What needs no settings is still looked at. */
+    @Test
+    void aBadFileIsBadWithoutSettings() throws Exception {
+        Files.writeString(file, FILE + "hegdes = 1\n");
+        assertEquals(2, new CommandLine(new CommandLineTool()).setErr(new PrintWriter(err, true))
+                .execute("check", file.toString()));
+        assertTrue(err.toString().contains(":11: unknown key 'hegdes' in [routes.s]"), err.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "serve", "check", "explain", "lab", "lab cells", "lab quiet", "plugin",
+        "plugin check", "plugin run"})
+    void everyCommandHasHelpAndVersion(String command) {
+        for (String option : List.of("--help", "--version")) {
+            List<String> words = new ArrayList<>(command.isEmpty() ? List.of() : List.of(command.split(" ")));
+            words.add(option);
+            StringWriter said = new StringWriter();
+            assertEquals(0, new CommandLine(new CommandLineTool()).setOut(new PrintWriter(said, true))
+                    .setErr(new PrintWriter(err, true)).execute(words.toArray(String[]::new)));
+            assertTrue(said.toString().contains(option.equals("--help") ? "Usage: larkbank"
+                    : "larkbank ("), said.toString());
+        }
+        assertEquals("", err.toString());
+    }
+
+    @Test
+    void aWrongOptionNamesTheRightOne() {
+        assertEquals(2, run("check", file.toString(), "--confg", "x"));
+        assertTrue(err.toString().contains("--config"), err.toString());
+    }
+
     @Test
     void anUnknownCommandIsStatusTwo() {
         assertEquals(2, run("chekc", file.toString()));
--- a/src/test/java/larkbank/sidecar/OperatorsLayoutTest.java
+++ b/src/test/java/larkbank/sidecar/OperatorsLayoutTest.java
@@ -257,6 +257,10 @@
         assertTrue(log.contains("operators.toml:11: 'attempts' is 9; the settings allow 4"), log);
         assertTrue(log.contains("operators.toml:12: "), log);
         assertTrue(log.contains("the old configuration stays"), log);
+        // A parser that follows each bracket by a call of its own would run out of stack.
+        harness.reload("x = " + "[".repeat(200_000));
+        harness.log.await("operators.toml:1: lists, tables or keys nested more than 32 deep; the old");
+        assertEquals("one", harness.client().search(2_000).answer().body());
     }
 
     /** The unsafe request that is out stays where it went; the next one goes the new way. */
--- a/src/test/java/larkbank/sidecar/PluginLoopbackTest.java
+++ b/src/test/java/larkbank/sidecar/PluginLoopbackTest.java
@@ -33,6 +33,8 @@
 @Timeout(60)
 class PluginLoopbackTest extends Loopback {
 
+    private static final String REFUSES = "refuse = true\non_failure = \"closed\"\ndeadline = \"1s\"\n";
+
     private Harness harness;
 
     private String file(String plugins, Stub... servers) {
@@ -68,7 +70,7 @@
         Stub one = server(Stub.HANG_UP);
         Stub two = server(Stub.HANG_UP);
         String book = "config = { class = \"book\" }\ndeadline = \"1s\"\n";
-        sidecar(plugin("mark-pay", book + "classes = [\"book\"]\n"), one, two);
+        sidecar(plugin("mark-pay", book + "classes = [\"book\"]\non_failure = \"closed\"\n"), one, two);
         assertEquals(400, harness.client().raw(Harness.Client.head("GET", "/pay/7", 2_000, "",
                 0)).answer().status());
         assertEquals(0, one.seen.size() + two.seen.size());
@@ -93,7 +95,7 @@
     @Test
     void aRefusalIsHeardAtOnce() throws Exception {
         Stub one = server(Stub.serves("ok"));
-        sidecar(plugin("refuse", "refuse = true\n"), one);
+        sidecar(plugin("refuse", REFUSES), one);
         Harness.Client client = harness.client();
         for (int i = 0; i < 3; i++) {
             Http.Message answer = client.search(2_000).answer();
@@ -127,7 +129,8 @@
         };
         Stub one = server(script);
         Stub two = server(script);
-        sidecar(plugin(module, "headers = [\"x-log\"]\nclasses = [\"search\"]\nrefuse = true\n"), one, two);
+        sidecar(plugin(module, "headers = [\"x-log\"]\nclasses = [\"search\"]\nrefuse = true\n"
+                + "on_failure = \"open\"\n"), one, two);
         ExecutorService pool = Executors.newFixedThreadPool(4);
         open.add(pool::shutdownNow);
         List<Future<Integer>> clients = new ArrayList<>();
@@ -172,11 +175,14 @@
     @ValueSource(strings = {"start-loop", "foreign-import", "old-abi", "no-hook", "many-pages"})
     void aBadReloadLeavesTheOldInPlace(String module) throws Exception {
         Stub one = server(Stub.serves("ok"));
-        sidecar(plugin("refuse", "refuse = true\n"), one);
+        sidecar(plugin("refuse", REFUSES), one);
         harness.reload(file(plugin(module, ""), one));
         harness.log.await("plug-in '" + module + "'");
         harness.log.await("the old configuration stays");
-        assertEquals(503, harness.client().search(2_000).answer().status());
+        Http.Message answer = harness.client().search(2_000).answer();
+        assertEquals(503, answer.status());
+        // The plug-in's own advice, not that of one that could not be asked.
+        assertEquals("1.5", answer.headers().get("Retry-After"));
     }
 
     /** A reload every so often under load: nothing is lost, and each request meets the old or the new. */
@@ -231,7 +237,7 @@
         String head = TunnelLoopback.UPGRADE + TunnelLoopback.CHAT + "User-Agent: planner\r\n";
         harness = new Harness(folder);
         open.add(harness);
-        harness.startWith(file(plugin("refuse", "refuse = true\n"), one) + socket);
+        harness.startWith(file(plugin("refuse", REFUSES), one) + socket);
         Http.Message refused = harness.client().raw(Harness.Client.head("GET", "/search/1", 2_000, head, 0))
                 .answer();
         assertEquals(503, refused.status());
