--- a/src/bench/java/larkbank/sidecar/Served.java
+++ b/src/bench/java/larkbank/sidecar/Served.java
@@ -27,6 +27,11 @@
 
     /** The same of another checkout, which has been built. */
     Served(Path checkout, Path config, String more) throws Exception {
+        this(checkout, config, more, "");
+    }
+
+    /** The same with another flag of the runtime in place of that which names the archive of classes. */
+    Served(Path checkout, Path config, String more, String flag) throws Exception {
         Matcher run = RUN.matcher(Files.readString(checkout.resolve("deploy/balancer.toml")));
         if (!run.find()) {
             throw new IOException("deploy/balancer.toml has no run");
@@ -34,7 +39,9 @@
         try (ServerSocket free = new ServerSocket(0)) {
             address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
         }
-        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", run.group(1) + more);
+        String command = flag.isEmpty() ? run.group(1)
+                : run.group(1).replaceAll("-XX:SharedArchiveFile=\\S+", flag);
+        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", command + more);
         builder.environment().put("LB_CONFIG", config.toString());
         builder.environment().put("LB_LISTEN", "127.0.0.1:" + address.getPort());
         builder.directory(checkout.toAbsolutePath().toFile()).inheritIO();
--- /dev/null
+++ b/src/test/java/larkbank/sidecar/ClassListTest.java
@@ -0,0 +1,51 @@
+package larkbank.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The list of classes for the archive names what there is. The compiler numbers lambdas anew with each change
+ * of their class, and one that the list names wrongly is linked while requests wait, without a word.
+ */
+class ClassListTest {
+
+    private static boolean exists(String owner, String method) {
+        try {
+            Class<?> c = Class.forName(owner.replace('/', '.'), false, ClassListTest.class.getClassLoader());
+            return method == null || method.equals("<init>")
+                    || Arrays.stream(c.getDeclaredMethods()).anyMatch(m -> m.getName().equals(method))
+                    || Arrays.stream(c.getMethods()).anyMatch(m -> m.getName().equals(method));
+        } catch (ClassNotFoundException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void itNamesWhatThereIs() throws Exception {
+        List<String> stale = new ArrayList<>();
+        int lambdas = 0;
+        for (String line : Files.readAllLines(Path.of("deploy/classes.lst"))) {
+            if (line.startsWith("larkbank/") && !exists(line.split(" ")[0], null)) {
+                stale.add(line);
+            }
+            // @lambda-proxy CALLER NAME FACTORY TYPE KIND OWNER METHOD ...
+            String[] words = line.split(" ");
+            if (line.startsWith("@lambda-proxy larkbank/")) {
+                lambdas++;
+                if (!exists(words[1], null) || words[6].startsWith("larkbank/")
+                        && !exists(words[6], words[7])) {
+                    stale.add(line);
+                }
+            }
+        }
+        assertEquals(List.of(), stale, "make the list anew as docs/sidecar.md says");
+        assertTrue(lambdas >= 60, lambdas + " lambdas");
+    }
+}
