--- a/src/main/java/larkbank/plugin/PluginHost.java
+++ b/src/main/java/larkbank/plugin/PluginHost.java
@@ -26,7 +26,7 @@
     static final int WAITING = 256;
     private static final long STACK = 512 * 1024, BEGIN_MILLIS = 2_000;
     /** Calls with a made-up request before the first real one, and how long they may take. */
-    private static final int WARM_CALLS = 200;
+    private static final int WARM_CALLS = 20;
     private static final long WARM_MILLIS = 150;
     private static final RequestView MADE_UP = new RequestView("GET", "/", Map.of(), "");
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
