One way to read what the kernel holds; a late interrupt no longer ends a plug-in's thread

Cause: ClientServer.readNow did what Link.usable already did. And a plug-in stopped in its made-up calls could get that interrupt while its fresh instance was being made, outside all handling: its thread ended, and every later call ran into its deadline.

Change: Link.readNow serves both; after the made-up calls the instance is dropped, and the first real call makes it, where an interrupt that is late is handled and tried again.

--- a/src/main/java/larkbank/plugin/PluginHost.java
+++ b/src/main/java/larkbank/plugin/PluginHost.java
@@ -169,9 +169,10 @@
 
     /**
      * The first calls are the slowest by far, and would be the ones that fail. Nothing of these is kept: what
-     * they wish and put is dropped, and requests meet a fresh instance.
+     * they wish and put is dropped, and requests meet a fresh instance. The first of them makes it: an
+     * interrupt that comes late for a call here would end the thread if it met the making.
      */
-    private void warmUp() throws BadPlugin {
+    private void warmUp() {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WARM_MILLIS / 2);
         try {
             for (int i = 0; i < WARM_CALLS && System.nanoTime() < end; i++) {
@@ -182,7 +183,7 @@
             // It may be right to trap at such a request; a real one shows it.
             Thread.interrupted();
         }
-        guest.begin();
+        guest.discard();
     }
 
     private void serve(Call call) {
--- a/src/main/java/larkbank/sidecar/ClientConnection.java
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -100,7 +100,7 @@
     }
 
     void readNow() {
-        ClientServer.readNow(channel);
+        Link.readNow(channel);
     }
 
     /**
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.Future;
@@ -144,7 +143,7 @@
      * to the service before, which may answer it at once.
      */
     Future<Void> close() {
-        doors.forEach(door -> readNow(door.channel));
+        doors.forEach(door -> Link.readNow(door.channel));
         List.copyOf(connections).forEach(ClientConnection::readNow);
         List.copyOf(connections).forEach(ClientConnection::close);
         List.copyOf(switched).forEach(ClientConnection::close);
@@ -189,7 +188,7 @@
                 .forEach(ClientConnection::closeIfSilent);
         if (door.channel.isOpen() && mayShut(door)) {
             // Those that have connected since the loop looked last would be reset.
-            readNow(door.channel);
+            Link.readNow(door.channel);
             if (mayShut(door)) {
                 door.channel.close();
             }
@@ -209,13 +208,6 @@
         return millisSince(door.acceptedAt) > QUIET_MILLIS && allIn;
     }
 
-    /** Takes in what the kernel holds for a channel: bytes of a connection, or connections of a door. */
-    static void readNow(Channel channel) {
-        if (channel.isActive()) {
-            ((AbstractNioChannel) channel).unsafe().read();
-        }
-    }
-
     /** A connection was accepted. */
     void opened(ClientConnection connection) {
         connection.door().acceptedAt = now();
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -132,12 +132,19 @@
      * socket would be taken for the next answer. Not to be called from what this link tells.
      */
     boolean usable() {
-        if (!asked && channel.isActive() && channel instanceof AbstractNioChannel nio) {
-            nio.unsafe().read();
+        if (!asked) {
+            readNow(channel);
         }
         return channel.isActive();
     }
 
+    /** Takes in what the kernel holds for a channel: bytes of a connection, or connections of a door. */
+    static void readNow(Channel channel) {
+        if (channel.isActive() && channel instanceof AbstractNioChannel nio) {
+            nio.unsafe().read();
+        }
+    }
+
     void send(FullHttpRequest request) {
         send(request, false);
     }
