A sidecar takes 31 of 32 requests that its clients can have in hand, not 7 of 8

The line at fault is Config.within: an eighth of a third of the descriptors was kept free for the next requests. Clients that find no connection come back as refused ones do, so that eighth bought nothing and cost an eighth of what the busiest sidecar can serve.

Change: all but a 32nd part of that third.

--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -28,6 +28,8 @@
      * hold 11; discovery's connection, a second one while it moves, and the configuration read again make 14.
      */
     private static final int OWN_DESCRIPTORS = 24;
+    /** Of the requests that clients can have in hand, the part that is kept free. */
+    private static final int FREE_PART = 32;
     private static final int LEAST_DESCRIPTORS = 128;
 
     /** Reads the file that {@code LB_CONFIG} names; the exception's message is one plain line. */
@@ -92,14 +94,16 @@
      * The module is told what really holds. Servers close what has been idle for the site's time, and a
      * request written to such a connection is lost: the pool closes well before. And each request in hand
      * keeps a client's connection busy, of which clients have a third of the descriptors at most: where all
-     * are busy their next requests are lost whatever they are worth, so a part stays free for the next ones.
+     * are busy their next requests are lost whatever they are worth, so a few stay free to be refused on.
+     * No more than a few: an eighth kept free was an eighth of what the busiest sidecar of a fleet could
+     * serve, while every server had room.
      */
     private static Settings within(Settings s, int sockets) {
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                Math.min(l.open(), sockets / 3 / 8 * 7), l.held(), l.secondCopies(),
-                serverConnections(sockets));
+                Math.min(l.open(), sockets / 3 - Math.max(1, sockets / 3 / FREE_PART)), l.held(),
+                l.secondCopies(), serverConnections(sockets));
         return s.with(kept, s.discoveryOnAsk());
     }
 
