Limits grow only while servers report something left of their capacity

Line at fault, limit of Choice: a limit is cut by answers slower than half of an aim and grows by each that is faster, and on a full server some still are, so cut and growth meet at 2 however many share it. A sidecar meets a server once a second, too seldom to find the sum by slow answers alone; but each answer tells the server's use.

Change: a limit grows only while the use told lately is under 0.9; so it comes down to the least, 0.2 (a request and a rest), where all together are too many, and what waits is refused or served elsewhere.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -60,8 +60,8 @@
     private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
     /** Own concurrency limit of a server: its start, the part of the aim that cuts it, the cut, the least. */
     private static final double FIRST_LIMIT = 3, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
-    /** What cuts it where aims are short: times what is usual, up to that part of the aim. */
-    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6;
+    /** What cuts it where aims are short: times what is usual, up to that part of it; use to grow under. */
+    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6, LIMIT_USE = 0.9;
     /** Reported use from which a slow answer is taken for a queue. */
     private static final double BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
@@ -1061,7 +1061,7 @@
                 b.limit = Math.max(sparse ? 1 : LIMIT_LEAST, b.limit * LIMIT_CUT);
                 b.cutAt = now;
             }
-        } else if (b.out.size() + 1 >= b.limit / 2) {
+        } else if (b.out.size() + 1 >= b.limit / 2 && !(use(now, b) > LIMIT_USE)) {
             boolean free = !Double.isNaN(b.use) && use(now, b) < BUSY && b.out.size() + 1 >= b.limit;
             b.limit += b.limit < 1 ? b.limit / 4 : free ? 1 : 1 / b.limit;
         }
--- a/src/test/java/larkbank/RulesTest.java
+++ b/src/test/java/larkbank/RulesTest.java
@@ -242,11 +242,8 @@
     @ParameterizedTest
     @CsvSource({"0.1, true", "0.9, false"})
     void slowAnswersCutTheLimitOfBusyServersOnly(double use, boolean kept) {
-        Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
-        Recorder r = new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(),
-                s.classes(), s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(),
-                ReportSource.ANSWERS, s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), 4);
-        LoadReport report = new LoadReport(Double.NaN, Double.NaN, use, Double.NaN, Double.NaN, Double.NaN);
+        Recorder r = reporting(4);
+        LoadReport report = use(use);
         for (int i = 0; i < 40; i++) {
             r.request("a" + i);
             Recorder.Sent last = r.sent.get(r.sent.size() - 1);
@@ -261,6 +258,48 @@
         assertEquals(kept, r.sent.size() - before >= 12);
     }
 
+    /**
+     * A server that many sidecars have filled still answers each of them well inside its aim now and then;
+     * each grew its limit by that, and the sum over them kept every server of a fleet that had lost a zone
+     * at twice what it can hold.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.7, true", "0.97, false"})
+    void limitsGrowOnlyWhileServersHaveSomethingLeft(double use, boolean grows) {
+        Recorder r = reporting(4);
+        for (int wave = 0; wave < 30; wave++) {
+            int first = r.sent.size();
+            for (int i = 0; i < 40; i++) {
+                r.request("g" + wave + "-" + i);
+            }
+            r.now += 50_000;
+            // What was held goes out as others are answered, and is answered too.
+            for (int i = first; i < r.sent.size(); i++) {
+                Recorder.Sent sent = r.sent.get(i);
+                r.choice.outcome(r.now, new Outcome(sent.request(), 0, sent.server(), Result.SERVED, 50_000,
+                        true, use(use)));
+            }
+        }
+        int before = r.sent.size();
+        for (int i = 0; i < 100; i++) {
+            r.request("h" + i);
+        }
+        int out = r.sent.size() - before;
+        assertEquals(grows, out > 16, out + " out at four servers whose first limit is 3");
+    }
+
+    /** A sidecar of a fleet whose answers tell the load. */
+    private static Recorder reporting(int servers) {
+        Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
+        return new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(),
+                s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(), ReportSource.ANSWERS,
+                s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), servers);
+    }
+
+    private static LoadReport use(double use) {
+        return new LoadReport(Double.NaN, Double.NaN, use, Double.NaN, Double.NaN, Double.NaN);
+    }
+
     @Test
     void hangingServerLosesItsTraffic() {
         Recorder r = new Recorder(Recorder.settings(Effect.UNSAFE, Group.ALL), 4);
