Limits are held to reported use only where one request of each sidecar fills a server

So few sidecars meet each server often, and slow answers alone show them its limit; held to reported use, they refused what would have been served.

Change: the rule holds from ten sidecars on, where a request of each is what fills a server, so that no limit of one or more can be right.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -60,8 +60,8 @@
     private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
     /** Own concurrency limit of a server: its start, the part of the aim that cuts it, the cut, the least. */
     private static final double FIRST_LIMIT = 3, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
-    /** What cuts it where aims are short: times what is usual, up to that part of it; use to grow under. */
-    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6, LIMIT_USE = 0.9;
+    /** What cuts it where aims are short: times what is usual, up to that part; use to grow under if many. */
+    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6, LIMIT_USE = 0.9, FILL = 10;
     /** Reported use from which a slow answer is taken for a queue. */
     private static final double BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
@@ -436,8 +436,7 @@
     }
 
     /** Past the most in hand, at all or under this bound, the held or new request that is worth least is
-     * refused, of equals the oldest: its time is the shortest, and a client that can't get in loses its
-     * own. */
+     * refused, of equals the oldest: its time is the shortest. */
     private void makeRoom(long now, Pending fresh, Bound within) {
         Pending least = null;
         for (int lot = 0; lot < LOTS * usualMicros.length; lot++) {
@@ -1046,7 +1045,7 @@
 
     /** Concurrency limit by AIMD against the aim: keeps queues where answers are still in time. While a
      * server reports free cores and the limit holds requests back, it grows by a whole slot: so a restart or
-     * a burst is not answered by refusals. Harm: where reports come late a burst may queue for as long. */
+     * a burst is not answered by refusals. Where one of each sidecar fills a server, none grows on a full. */
     private void limit(long now, Attempt a, double elapsed) {
         Backend b = a.server;
         // Many sidecars share few cores: one request of each may be too many; below one, rest between sends.
@@ -1061,7 +1060,8 @@
                 b.limit = Math.max(sparse ? 1 : LIMIT_LEAST, b.limit * LIMIT_CUT);
                 b.cutAt = now;
             }
-        } else if (b.out.size() + 1 >= b.limit / 2 && !(use(now, b) > LIMIT_USE)) {
+        } else if (b.out.size() + 1 >= b.limit / 2
+                && (settings.replicas() < FILL || !(use(now, b) > LIMIT_USE))) {
             boolean free = !Double.isNaN(b.use) && use(now, b) < BUSY && b.out.size() + 1 >= b.limit;
             b.limit += b.limit < 1 ? b.limit / 4 : free ? 1 : 1 / b.limit;
         }
