--- a/src/bench/java/larkbank/sidecar/ClassListRun.java
+++ b/src/bench/java/larkbank/sidecar/ClassListRun.java
@@ -57,6 +57,7 @@
         ask(served, ROUNDS);
         tell(harness, Harness.list(3, false, "terminating", rough));
         tell(harness, Harness.list(4, true, "in_service", good, better));
+        operate(served, harness);
         harness.discovery.script(Stub.HANG_UP);
         strange(served);
         crowd(served);
@@ -65,6 +66,24 @@
         ask(served, ROUNDS);
     }
 
+    /** What operators ask, and other settings while it runs. */
+    private static void operate(Served served, Harness harness) throws Exception {
+        String good = Files.readString(harness.file);
+        for (String text : List.of(good.replace("\"name\":\"hold\"", "\"name\":\"keep\""), "", good)) {
+            Files.writeString(harness.file, text);
+            served.hangUp();
+            Thread.sleep(200);
+        }
+        for (String line : List.of("READY", "STATS", "no call", "DRAIN")) {
+            served.call(line);
+        }
+        ask(served, 2);
+        Thread.sleep(600);
+        ask(served, 1);
+        served.call("UNDRAIN");
+        ask(served, 2);
+    }
+
     private static void tell(Harness harness, String list) throws Exception {
         int before = harness.discovery.seen.size();
         harness.discovery.script(seen -> {
--- a/src/bench/java/larkbank/sidecar/Served.java
+++ b/src/bench/java/larkbank/sidecar/Served.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -44,6 +46,7 @@
         ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "1", "sh", "-c", command + more);
         builder.environment().put("LB_CONFIG", config.toString());
         builder.environment().put("LB_LISTEN", "127.0.0.1:" + address.getPort());
+        builder.environment().put("LB_OPERATOR", "127.0.0.2:" + address.getPort());
         builder.directory(checkout.toAbsolutePath().toFile()).inheritIO();
         long since = System.nanoTime();
         process = builder.start();
@@ -65,6 +68,18 @@
         throw new IOException("the program ended");
     }
 
+    /** One call at the operators' door. */
+    String call(String line) throws IOException {
+        try (Socket socket = new Socket("127.0.0.2", address.getPort())) {
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+    }
+
     double cpuSeconds() {
         return process.info().totalCpuDuration().map(Duration::toMillis).orElse(-1L) / 1e3;
     }
--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -49,21 +49,18 @@
     private static final double USUAL_WEIGHT = 0.03, POOL_WEIGHT = 0.1;
     /** What is usual before the first answer, in aims. */
     private static final double FIRST_GUESS = 0.3;
-    /** Unanswered for this many times what is expected is silence; failures that make an outlier. */
-    private static final int HANGING = 4, FAILURES = 3;
-    /** Most of the ready servers that may be outliers; doublings of their time, at first one aim. */
+    /** Silence in times of what is expected; failures of an outlier; doublings of its time of one aim. */
+    private static final int HANGING = 4, FAILURES = 3, MAX_BACKOFF = 4;
+    /** Most of the ready servers that may be outliers. */
     private static final double MAX_EJECTED = 0.5;
-    private static final int MAX_BACKOFF = 4;
     /** Most of a chance with a cold server, in cold shares of a fair part, at each node of a path. */
     private static final double SLOW_START = 1.4;
     /** Where the site sets no budget: further attempts as a part of first tries; how many are saved. */
     private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
     /** Own concurrency limit of a server: its start, the part of the aim that cuts it, the cut, the least. */
     private static final double FIRST_LIMIT = 3, LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
-    /** Times what is usual that cut it, up to that part of the aim; use and sidecars that bound it. */
-    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6, LIMIT_USE = 0.9, FILL = 10;
-    /** Reported use from which a slow answer is taken for a queue. */
-    private static final double BUSY = 0.5;
+    /** Times what is usual that cut it, part of the aim; use, sidecars that bound it; use of a queue. */
+    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6, LIMIT_USE = 0.9, FILL = 10, BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
     private static final double ADMIT_TARGET = 0.8, ADMIT_CUT = 0.7, ADMIT_GAIN = 0.25, ADMIT_LEAST = 0.1;
     /** A server that tells its load is sent what it should answer in time, with this much to spare. */
@@ -84,12 +81,13 @@
     /** Kinds of timer, in the low bits of their tokens. */
     private static final int HELD = 0, LOOK = 1, ASK = 2, COPY = 3, CELLS = 4, TIMER_KINDS = 5;
 
-    private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final double aimMicros, rateSpan, probesPerRequest;
-    private final boolean anySafe;
+    private final double rateSpan, probesPerRequest;
+    private Settings settings;
     private Limits limits;
+    private double aimMicros;
+    private boolean anySafe;
     /** No server comes any more. */
     private boolean closing;
 
@@ -107,13 +105,14 @@
     private boolean sparse;
     private final Map<String, Pending> requests = new HashMap<>();
     private final Map<Long, Pending> timers = new HashMap<>();
-    private final HeldQueue<Pending> held;
+    private final HeldQueue<Pending> held = new HeldQueue<>(LOTS);
     private boolean looking;
     /** Requests in hand and held under each of the operators' bounds. */
     private final Tally inHand = new Tally(), waiting = new Tally();
     private long lastToken;
 
-    private final double[] usualMicros, classFaults;
+    private final Faults faults;
+    private double[] usualMicros = {};
     private final int tenants;
     private final Shares shares;
     private final Fading rate, setup;
@@ -155,15 +154,12 @@
         long usedAt, connectAt, returnedAt;
         int connectFailures;
         boolean opened, maybeDead, full;
-        /** EWMA of what its answers to each class lack, and when that was last seen. */
-        final double[] classFault;
-        final long[] classSeenAt;
+        final Faults.Of faults;
 
-        Backend(long id, int rank, int classes) {
+        Backend(long id, int rank, Faults.Of faults) {
             this.id = id;
             order = mix(id, rank);
-            classFault = new double[classes];
-            classSeenAt = new long[classes];
+            this.faults = faults;
         }
 
     }
@@ -200,7 +196,7 @@
         long arrivedAt, aimAt, luck;
         double scale;
         boolean over, streaming, beyondShare;
-        int requestClass, tenant, cell, out, looks;
+        int requestClass, tenant, cell, out, looks, cap;
         final List<Attempt> attempts = new ArrayList<>(2);
     }
 
@@ -213,24 +209,9 @@
                 : new WindowBudget(rules.lookBackMicros(), rules.extraFloor(), rules.extraPerRequest());
         random = new SplittableRandom(settings.seed());
         zones = Math.max(1, settings.zones().size());
-        int classes = settings.classes().size();
-        held = new HeldQueue<>(LOTS, classes);
-        usualMicros = new double[classes];
-        classFaults = new double[classes];
-        double aims = 0;
-        boolean safe = false;
-        for (int i = 0; i < classes; i++) {
-            RequestClass c = settings.classes().get(i);
-            double aim = Math.max(1, c.aimMicros() > 0 ? c.aimMicros() : c.deadlineMicros());
-            usualMicros[i] = aim * FIRST_GUESS;
-            aims += aim;
-
-            safe |= c.effect() == Effect.SAFE;
-        }
-        aimMicros = aims / classes;
-
+        classes(List.of());
+        faults = new Faults(FAULT_MEMORY * aimMicros, POOL_WEIGHT);
         shares = new Shares(settings.tenants().stream().map(Tenant::share).toList(), SHARE_SLACK);
-        anySafe = safe;
         tenants = Math.max(1, settings.tenants().size());
         rateSpan = 2.0 * Math.max(1, rules.fallMicros());
         rate = new Fading(rateSpan, 0);
@@ -239,6 +220,34 @@
         probesPerRequest = !probing ? 0 : Math.min(4, PROBE_SPEND / Math.max(settings.probePrice(), 1e-6));
     }
 
+    /** Takes the classes as they are now; what is usual stays where a place has its class of before. */
+    private void classes(List<RequestClass> before) {
+        List<RequestClass> classes = settings.classes();
+        usualMicros = Arrays.copyOf(usualMicros, classes.size());
+        double aims = 0, live = 0;
+        anySafe = false;
+        for (int i = 0; i < classes.size(); i++) {
+            RequestClass c = classes.get(i);
+            if (c == RequestClass.GONE) continue;
+            double aim = Math.max(1, c.aimMicros() > 0 ? c.aimMicros() : c.deadlineMicros());
+            boolean known = i < before.size() && before.get(i).name().equals(c.name());
+            usualMicros[i] = known ? usualMicros[i] : aim * FIRST_GUESS;
+            aims += aim;
+            live++;
+            anySafe |= c.effect() == Effect.SAFE;
+        }
+        aimMicros = aims / live;
+    }
+
+    /** What is in hand keeps its rules and the attempts that it may have. */
+    @Override
+    public void retune(long now, Settings next) {
+        List<RequestClass> before = settings.classes();
+        settings = next;
+        limits = next.limits().with(limits.open(), limits.held(), limits.connections());
+        classes(before);
+    }
+
     // ---- Lists and the subset tree
 
     @Override
@@ -293,7 +302,7 @@
             old.listed = false;
             gone(old);
         }
-        backends.put(id, new Backend(id, settings.rank(), usualMicros.length));
+        backends.put(id, new Backend(id, settings.rank(), faults.new Of()));
         return backends.get(id);
     }
 
@@ -400,6 +409,7 @@
         p.rules = settings.classes().get(p.requestClass);
         p.tenant = Math.min(Math.max(0, request.tenant()), tenants - 1);
         p.arrivedAt = now;
+        p.cap = limits.attempts();
         p.aimAt = now + p.rules.aimMicros() + (long) (p.rules.aimStretch() * request.hintMicros());
         if (requests.putIfAbsent(request.id(), p) != null) return;
         if (request.hintMicros() > 0) {
@@ -572,7 +582,7 @@
 
     /** Attempts that a request may have: the site's cap, or fewer where the operators say so. */
     private int most(Pending p) {
-        return Math.max(1, Math.min(limits.attempts(), p.request.terms().attempts()));
+        return Math.max(1, Math.min(p.cap, p.request.terms().attempts()));
     }
 
     // ---- The pick
@@ -667,7 +677,7 @@
     }
 
     private double cost(long now, Pending p, Backend b) {
-        double works = 1 - fault(now, b, p.requestClass);
+        double works = 1 - b.faults.get(now, p.requestClass);
         boolean stays = p.request.terms().stays();
         double cost = (stays ? 1 + load(now, b) + STAYS * b.burden
                 : slowness(now, b) * (1 + load(now, b) + b.burden)) / (works * works + 0.01);
@@ -676,13 +686,6 @@
         return cost;
     }
 
-    /** Part of a class that the server leaves unanswered; without own samples, what is so everywhere. */
-    private double fault(long now, Backend b, int c) {
-        if (b.classSeenAt[c] == 0) return classFaults[c];
-        double keep = Math.exp(-(now - b.classSeenAt[c]) / (FAULT_MEMORY * aimMicros));
-        return classFaults[c] + (b.classFault[c] - classFaults[c]) * keep;
-    }
-
     private double use(long now, Backend b) {
         if (Double.isNaN(b.use)) return meanUse;
         return meanUse + (b.use - meanUse) * Math.exp(-(now - b.reportedAt) / (DECAY * aimMicros));
@@ -930,7 +933,7 @@
                 // Full is busy, not sick: shrink the limit and stay away for one usual answer.
                 b.usedAt = now;
                 b.opened = true;
-                faulty(now, b, c);
+                b.faults.failed(now, c);
                 crowded();
                 b.limit = Math.max(1, b.limit * LIMIT_CUT);
                 b.pausedUntil = now + (long) (a.usual / 2 + random.nextDouble() * a.usual);
@@ -954,7 +957,7 @@
                 if (known(now, b) * a.usual > LIMIT_TARGET * a.of.rules.aimMicros()) crowded();
                 if (o.result() == Result.ERROR) {
                     // It has answered: the connection works, and no idle spell before is to blame.
-                    faulty(now, b, c);
+                    b.faults.failed(now, c);
                     b.usedAt = now;
                     b.opened = true;
                 } else if (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt) return;
@@ -976,9 +979,7 @@
         if (b.maybeDead) b.returnedAt = now;
         b.maybeDead = false;
         b.failures = 0;
-        b.classFault[c] = fault(now, b, c) / 2;
-        b.classSeenAt[c] = now;
-        classFaults[c] -= POOL_WEIGHT * classFaults[c];
+        b.faults.answered(now, c);
         // It was slow after all: neither its connection nor the others' had died.
         if (a.suspected && a.idle > 0) idleTrust = Long.MAX_VALUE;
         if (b.openUntil != 0) {
@@ -1016,7 +1017,7 @@
             b.suspects++;
             b.suspectedAt = now;
         }
-        faulty(now, b, a.of.requestClass);
+        b.faults.failed(now, a.of.requestClass);
         if (b.usedAt <= a.sentAt && a.idle > aimMicros / 4 && b.pace < SPILL) {
             idleTrust = Math.min(trust(now), a.idle) / 2;
             distrustedAt = now;
@@ -1029,13 +1030,6 @@
         if (b.usedAt <= a.sentAt) eject(now, b, "no answer for " + (now - a.sentAt) / 1000 + " ms");
     }
 
-    /** A class that is turned away or fails while others are served must not look fast or idle. */
-    private void faulty(long now, Backend b, int c) {
-        b.classFault[c] = (1 + fault(now, b, c)) / 2;
-        b.classSeenAt[c] = now;
-        classFaults[c] += POOL_WEIGHT * (1 - classFaults[c]);
-    }
-
     /** Peak EWMA: up at once, down with time. */
     private void sample(long now, Backend b, double x) {
         boolean peak = Double.isNaN(b.slowness) || x > known(now, b);
@@ -1150,6 +1144,11 @@
         openCells();
     }
 
+    @Override
+    public int avoided(long now) {
+        return ejected;
+    }
+
     @Override
     public void closing(long now) {
         closing = true;
--- a/src/main/java/larkbank/HeldQueue.java
+++ b/src/main/java/larkbank/HeldQueue.java
@@ -1,5 +1,6 @@
 package larkbank;
 
+import java.util.Arrays;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -23,16 +24,14 @@
     }
 
     private final int kinds;
-    private final Item[] oldest;
-    private final Item[] newest;
+    private Item[] oldest = {};
+    private Item[] newest = {};
     private long numbers;
     private int size;
 
-    /** So many kinds of lots, each so many times; lots of one kind are that many apart. */
-    HeldQueue(int kinds, int times) {
+    /** So many kinds of lots; lots of one kind are that many apart; further ones come with use. */
+    HeldQueue(int kinds) {
         this.kinds = kinds;
-        oldest = new Item[kinds * times];
-        newest = new Item[kinds * times];
     }
 
     int size() {
@@ -41,6 +40,11 @@
 
     void add(T t, int lot) {
         Item item = t;
+        if (lot >= newest.length) {
+            int lots = (lot / kinds + 1) * kinds;
+            oldest = Arrays.copyOf(oldest, lots);
+            newest = Arrays.copyOf(newest, lots);
+        }
         item.lot = lot;
         item.number = ++numbers;
         item.before = newest[lot];
@@ -82,7 +86,7 @@
 
     /** The oldest of a lot that passes; null where none does. */
     T oldest(int lot, Predicate<T> test) {
-        Item item = oldest[lot];
+        Item item = lot < oldest.length ? oldest[lot] : null;
         while (item != null && !test.test(cast(item))) item = item.after;
         return cast(item);
     }
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -40,6 +40,10 @@
     /** A class of requests: its effect, its times and what an answer is worth. */
     record RequestClass(String name, Effect effect, Group group, long dedupWindowMicros, long aimMicros,
             double aimStretch, long deadlineMicros, double worth, double lateShare, boolean streaming) {
+        /** Holds the place of a class that was dropped, until another takes it. */
+        public static final RequestClass GONE =
+                new RequestClass("", Effect.UNSAFE, Group.ALL, 0, 0, 0, 0, 0, 0, false);
+
         public RequestClass {
             require(aimMicros >= 0 && deadlineMicros >= 0 && dedupWindowMicros >= 0,
                     "class '" + name + "' has a negative time");
@@ -138,6 +142,12 @@
                     limits, rules, reports, discoveryOnAsk, warmKeys, tickMicros);
         }
 
+        /** The same with these classes; not all of them are gone. */
+        public Settings with(List<RequestClass> others) {
+            return new Settings(seed, rank, replicas, zone, zones, others, tenants, overShareWorth,
+                    probePrice, limits, rules, reports, discoveryOnAsk, warmKeys, tickMicros);
+        }
+
         /** The same with other limits and another way to discovery. */
         public Settings with(Limits other, boolean asks) {
             return new Settings(seed, rank, replicas, zone, zones, classes, tenants, overShareWorth,
@@ -219,6 +229,17 @@
     /** Other limits hold from now on; what is in hand stays. */
     default void limits(long nowMicros, int open, int held, int connections) { }
 
+    /**
+     * Other classes and attempts hold for requests from now on; a class that stays keeps its number, and the
+     * number of one that is gone is taken by another only after the last request under it.
+     */
+    default void retune(long nowMicros, Settings next) { }
+
+    /** Ready servers that nothing new would be sent to now, whatever the load. */
+    default int avoided(long nowMicros) {
+        return 0;
+    }
+
     /** No server will come any more: what waits for one is given up, and nothing is tried again. */
     default void closing(long nowMicros) { }
 }
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -38,6 +38,8 @@
     }
 
     final Request request;
+    /** As the operators' figures name it. */
+    final String className;
     /** What its route led to when it came. */
     final Cluster cluster;
     /** The one that has it, also where its route leads elsewhere by now; null until one does. */
@@ -68,8 +70,10 @@
     Declined declined;
     Future<?> expiry;
 
-    Call(Request request, Way way, HttpMethod method, HttpHeaders headers, byte[] body, Client client) {
+    Call(Request request, Way way, String className, HttpMethod method,
+            HttpHeaders headers, byte[] body, Client client) {
         this.request = request;
+        this.className = className;
         cluster = way.cluster();
         upgrade = way.upgrade();
         uri = way.uri();
--- a/src/main/java/larkbank/sidecar/CelledPool.java
+++ b/src/main/java/larkbank/sidecar/CelledPool.java
@@ -21,6 +21,7 @@
 import larkbank.cell.Cells.Ticket;
 import larkbank.cell.CellsPlan;
 import larkbank.cell.Parting.Moved;
+import larkbank.daily.Figures.Ending;
 import larkbank.route.PoolPlan;
 
 /** Cells with a pool each. Which of them a request or a server belongs to is for {@link Cells} to say. */
@@ -29,8 +30,8 @@
     private record Known(ServerList.Entry entry, int cell) { }
 
     private final Pool.Shared shared;
-    private final List<RequestClass> classes;
-    private final Limits limits;
+    private List<RequestClass> classes;
+    private Limits limits;
     private Shares shares;
     private final Function<PoolPlan, Pool> maker;
     private final List<Pool> pools = new ArrayList<>();
@@ -62,6 +63,23 @@
         return known.size();
     }
 
+    @Override
+    public void retune(Settings next) {
+        classes = next.classes();
+        limits = next.limits();
+        pools.forEach(p -> p.retune(next));
+    }
+
+    @Override
+    public int listed() {
+        return known.size();
+    }
+
+    @Override
+    public int avoided() {
+        return pools.stream().mapToInt(Pool::avoided).sum();
+    }
+
     @Override
     public long waitingBytes() {
         return pools.stream().mapToLong(Pool::waitingBytes).sum();
@@ -97,7 +115,7 @@
     /** At once: it has been nowhere, so to come back does no harm. */
     private void refuse(Call call, long retryAfterMicros) {
         long advice = limits.retryAdvice() ? Pool.within(limits.maxRetryAdviceMicros(), retryAfterMicros) : 0;
-        forget(call);
+        forget(call, Ending.REFUSED);
         if (call.upgrade != null) {
             call.upgrade.answered(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
@@ -105,10 +123,10 @@
                 Unpooled.EMPTY_BUFFER);
     }
 
-    private void forget(Call call) {
+    private void forget(Call call, Ending ending) {
         call.over = true;
         call.forgotten = true;
-        shared.inHand().over(call);
+        shared.inHand().over(call, ending);
         shared.inHand().remove(call);
     }
 
@@ -137,7 +155,7 @@
         if (call.upgrade != null) {
             call.upgrade.left();
         }
-        forget(call);
+        forget(call, null);
         long now = shared.clock().micros();
         if (call.ticket.cell() < 0) {
             cells.left(now, call.ticket);
--- a/src/main/java/larkbank/sidecar/ClientConnection.java
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -133,6 +133,11 @@
         return !owed() && !switched && !coming() && age() > millis;
     }
 
+    /** Whether anything was ever answered on it. */
+    boolean hasAsked() {
+        return !awaited;
+    }
+
     /** Whether a request has begun to come; it has its own time to come whole. */
     private boolean coming() {
         return awaited && heard > 0 && !deaf;
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -45,6 +45,9 @@
         /** A request to be answered through its client, by an exception at the latest. */
         void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest;
 
+        /** So many clients are connected, while those that are there are to go. */
+        default void clients(int count) { }
+
         /** The client of this request has closed its connection. */
         void left(Call.Client client);
     }
@@ -61,12 +64,16 @@
     /** How long a door that closes waits for room for those that have connected and not been accepted. */
     private static final long FULL_MILLIS = 2_000;
     private static final long SWEEP_MILLIS = 25;
+    /** In a drain, how long a connection may go without having said anything. */
+    private static final long DISMISS_MILLIS = 1_500;
 
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final Service service;
     private final int most;
     private boolean sweeping;
+    private boolean draining;
+    private long drainingSince;
     private final Consumer<String> log;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     /** Those that have gone over to another protocol: they count, and there is nothing to look after. */
@@ -202,6 +209,39 @@
         }
     }
 
+    /**
+     * From now on clients are to go, and the doors stay open: those that come all the same are answered. For
+     * a while nothing ends, since new connections go on coming until the front has heard; then each ends
+     * after its answer, and idle ones at once, so that none is left that a client would go on using.
+     */
+    void drain() {
+        if (!draining) {
+            draining = true;
+            drainingSince = now();
+        }
+    }
+
+    /** Clients are welcome again; what was told its end meanwhile still ends. */
+    void undrain() {
+        draining = false;
+    }
+
+    private boolean dismisses() {
+        return draining && millisSince(drainingSince) > ACCEPT_MILLIS;
+    }
+
+    /** One that has not said anything yet may be a client that takes its time; it has some, but not all. */
+    private void dismissIdle() {
+        if (dismisses()) {
+            boolean last = millisSince(drainingSince) > DISMISS_MILLIS;
+            connections.stream().filter(c -> c.quiet(QUIET_MILLIS) && (last || c.hasAsked())).toList()
+                    .forEach(ClientConnection::closeIfSilent);
+        }
+        if (draining) {
+            service.clients(connections.size());
+        }
+    }
+
     private boolean mayShut(Door door) {
         boolean allIn = door.channel.config().isAutoRead()
                 || millisSince(door.closingSince) > FULL_MILLIS;
@@ -235,7 +275,7 @@
      * idle shuts them out.
      */
     boolean endsAfterAnswer(Door door) {
-        return door.closing || !door.channel.config().isAutoRead();
+        return door.closing || dismisses() || !door.channel.config().isAutoRead();
     }
 
     long waitingBytes() {
@@ -266,6 +306,7 @@
             c.checkTimes();
         }
         closeSurplus();
+        dismissIdle();
         makeRoom();
     }
 
--- a/src/main/java/larkbank/sidecar/Cluster.java
+++ b/src/main/java/larkbank/sidecar/Cluster.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import larkbank.LoadBalancer.ListKind;
+import larkbank.LoadBalancer.Settings;
 import larkbank.route.PoolPlan;
 
 /** The servers of some routes: a pool, or cells with a pool each. */
@@ -11,6 +12,12 @@
 
     int knownServers();
 
+    /** Servers on the list as last told. */
+    int listed();
+
+    /** Those of them that nothing new would be sent to now. */
+    int avoided();
+
     /** Bytes that wait to be written to servers. */
     long waitingBytes();
 
@@ -34,6 +41,9 @@
     /** Other limits hold from now on; what is in hand or open stays. */
     void limit(PoolPlan plan);
 
+    /** Other classes and attempts hold for requests that come from now on. */
+    void retune(Settings next);
+
     /**
      * Shares servers with other instances, within what these bounds leave to this one; null for no bounds.
      */
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -14,14 +14,18 @@
 import larkbank.Addresses;
 import larkbank.Json;
 import larkbank.LoadBalancer.Limits;
+import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Settings;
 import larkbank.SettingsReader;
+import larkbank.daily.ClassPlaces;
+import larkbank.daily.ConfigShape;
 import larkbank.operators.Facts;
 
 /** What one sidecar is told at its start. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+        InetSocketAddress operator, int sockets,
         Settings settings, long connectMicros, long drainGraceMicros, ServerList known,
-        ServerList.Reader lists) {
+        ServerList.Reader lists, ConfigShape shape) {
 
     /**
      * Descriptors beside the clients' and servers' connections: the runtime, its files and the event loop
@@ -34,12 +38,18 @@
 
     /** Reads the file that {@code LB_CONFIG} names; the exception's message is one plain line. */
     static Config read(Map<String, String> environment) throws IOException {
+        return read(environment, null);
+    }
+
+    /** It has to have all that this one has; null for no such demand. */
+    private static Config read(Map<String, String> environment, ConfigShape demanded)
+            throws IOException {
         String file = environment.get("LB_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IOException("LB_CONFIG names no file");
         }
         try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(Path.of(file)))) {
-            return of(Json.document(parser), environment);
+            return of(Json.document(parser), environment, demanded);
         } catch (JsonProcessingException e) {
             throw new IOException(file + ": not JSON: " + e.getOriginalMessage(), e);
         } catch (IllegalArgumentException e) {
@@ -52,16 +62,23 @@
     }
 
     /** Reads the file of a running sidecar, which is newer than what the environment says of discovery. */
-    static Config reread(Map<String, String> environment) throws IOException {
+    static Config reread(Map<String, String> environment, Config inForce) throws IOException {
         Map<String, String> others = new HashMap<>(environment);
         others.remove("LB_DISCOVERY");
-        return read(others);
+        return read(others, inForce.shape);
     }
 
     /** The same with other servers, which nothing has to be asked for, and within other descriptors. */
     Config with(int otherSockets, ServerList servers) {
-        return new Config(name, listen, discovery, otherSockets, settings.with(settings.limits(), false),
-                connectMicros, drainGraceMicros, servers, lists);
+        return new Config(name, listen, discovery, null, otherSockets,
+                settings.with(settings.limits(), false), connectMicros, drainGraceMicros, servers, lists,
+                shape);
+    }
+
+    /** The same with its classes at these numbers. */
+    Config with(List<RequestClass> placed) {
+        return new Config(name, listen, discovery, operator, sockets, settings.with(placed), connectMicros,
+                drainGraceMicros, known, lists, shape);
     }
 
     /** What an operators' file is checked against. */
@@ -69,10 +86,15 @@
         return new Facts(settings, lists.zones(), lists.models(), serverConnections(), listen);
     }
 
-    private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
+    private static Config of(Map<?, ?> c, Map<String, String> environment, ConfigShape demanded)
+            throws IOException {
         if (!(c.get("settings") instanceof Map<?, ?> facts)) {
             throw new IOException("'settings' is missing");
         }
+        String fault = demanded == null ? null : demanded.fault(c);
+        if (fault != null) {
+            throw new IOException(fault);
+        }
         Map<?, ?> limits = Json.object(facts, "policy_limits");
         ServerList.Reader lists = new ServerList.Reader(SettingsReader.names(facts, "zones"),
                 SettingsReader.names(facts, "models"));
@@ -82,12 +104,31 @@
         if (sockets < LEAST_DESCRIPTORS) {
             throw new IOException("'sockets' must be " + LEAST_DESCRIPTORS + " or more");
         }
+        InetSocketAddress operator = operator(c, environment.get("LB_OPERATOR"));
+        // The operators' door takes its part before clients and servers share the rest.
+        sockets -= operator == null ? 0 : OperatorsDoor.CALLERS + 1;
         return new Config(text(c, "name", environment.get("LB_NAME")),
                 Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
-                Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), sockets,
-                within(SettingsReader.read(seed(c), facts), sockets),
+                Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), operator, sockets,
+                within(checked(SettingsReader.read(seed(c), facts)), sockets),
                 Json.whole(limits, "connect_timeout_us", 250_000),
-                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists);
+                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists,
+                new ConfigShape(c));
+    }
+
+    private static Settings checked(Settings s) {
+        String twice = ClassPlaces.twice(s.classes());
+        require(twice == null, "class '" + twice + "' stands twice");
+        s.classes().forEach(c -> require(c.deadlineMicros() > 0 && !c.name().isEmpty(),
+                "'deadline_us' of class '" + c.name() + "' must be above 0"));
+        require(s.limits().attempts() > 0, "'attempts_cap' must be above 0");
+        return s;
+    }
+
+    private static void require(boolean held, String otherwise) {
+        if (!held) {
+            throw new IllegalArgumentException("settings: " + otherwise);
+        }
     }
 
     /**
@@ -107,6 +148,12 @@
         return s.with(kept, s.discoveryOnAsk());
     }
 
+    /** Null where operators have no door. */
+    private static InetSocketAddress operator(Map<?, ?> c, String first) throws IOException {
+        boolean told = first != null && !first.isEmpty() || c.get("operator") != null;
+        return told ? Addresses.parse(text(c, "operator", first)) : null;
+    }
+
     private static String text(Map<?, ?> c, String name, String first) throws IOException {
         if (first != null && !first.isEmpty()) {
             return first;
--- a/src/main/java/larkbank/sidecar/InHand.java
+++ b/src/main/java/larkbank/sidecar/InHand.java
@@ -2,19 +2,31 @@
 
 import java.util.HashMap;
 import java.util.Map;
-
-/** The requests of the process, whatever pool has them: an id is in hand once at most. */
+import java.util.Set;
+import java.util.stream.Collectors;
+import larkbank.daily.Figures;
+
+/**
+ * The requests of the process, whatever pool has them: an id is in hand once at most. Each is counted here as
+ * it comes and as it ends, so no front and no pool can leave one out.
+ */
 final class InHand {
 
+    private final Figures figures = new Figures();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Call.Client, Call> waiting = new HashMap<>();
 
+    Figures figures() {
+        return figures;
+    }
+
     /** Takes a request; false where its id is in hand already. */
     boolean add(Call call) {
         if (calls.putIfAbsent(call.request.id(), call) != null) {
             return false;
         }
         waiting.put(call.client, call);
+        figures.taken();
         return true;
     }
 
@@ -22,14 +34,24 @@
         return calls.get(id);
     }
 
+    /** Numbers of classes that requests have, also such as are over and still out at a server. */
+    Set<Integer> classes() {
+        return calls.values().stream().map(c -> c.request.requestClass()).collect(Collectors.toSet());
+    }
+
     /** The request that this client waits for, if any. */
     Call of(Call.Client client) {
         return waiting.get(client);
     }
 
-    /** Nothing is owed to its client any more. */
-    void over(Call call) {
+    /** Nothing is owed to its client any more; the ending is null where the client has left. */
+    void over(Call call, Figures.Ending ending) {
         waiting.remove(call.client);
+        if (ending == null) {
+            figures.left();
+        } else {
+            figures.ended(call.className, ending);
+        }
     }
 
     /** Its attempts have ended too. */
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -61,8 +61,11 @@
     /** The pools whose servers discovery tells. */
     Collection<Cluster> discovered();
 
-    /** Reads again what it was made of; to be called off the loop. */
-    Change reread() throws IOException;
+    /**
+     * Reads again what it was made of, to hold with this configuration's classes and limits; to be called off
+     * the loop.
+     */
+    Change reread(Config next) throws IOException;
 
     void close();
 }
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/OperatorsDoor.java
@@ -0,0 +1,109 @@
+package larkbank.sidecar;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+
+/**
+ * Where operators connect: one line a connection, and its answer. Callers that hold a connection and ask
+ * nothing cost a descriptor each, so only so many are kept; the one that came first goes first.
+ */
+final class OperatorsDoor {
+
+    /** Callers at once; the door's own descriptor comes on top. */
+    static final int CALLERS = 15;
+    private static final int LONGEST_LINE = 256;
+    /** A caller that has said nothing whole for so long, or does not take its answer, is let go. */
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    private final EventLoop loop;
+    private final UnaryOperator<String> desk;
+    private final ArrayDeque<Channel> callers = new ArrayDeque<>();
+
+    OperatorsDoor(EventLoop loop, UnaryOperator<String> desk) {
+        this.loop = loop;
+        this.desk = desk;
+    }
+
+    /** Opens; done once operators can connect. */
+    CompletableFuture<InetSocketAddress> listen(InetSocketAddress address) {
+        CompletableFuture<InetSocketAddress> open = new CompletableFuture<>();
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new Caller());
+                    }
+                }).bind(address);
+        bound.addListener(f -> {
+            if (f.isSuccess()) {
+                open.complete((InetSocketAddress) bound.channel().localAddress());
+            } else {
+                open.completeExceptionally(f.cause());
+            }
+        });
+        return open;
+    }
+
+    /** Reads up to the first line's end and answers; nothing behind it counts. */
+    private final class Caller extends SimpleChannelInboundHandler<ByteBuf> {
+        private final StringBuilder line = new StringBuilder();
+        private boolean answered;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (callers.size() >= CALLERS) {
+                callers.pollFirst().close();
+            }
+            Channel channel = context.channel();
+            callers.addLast(channel);
+            channel.closeFuture().addListener(f -> callers.remove(channel));
+            loop.schedule(() -> channel.close(), PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+            if (answered) {
+                return;
+            }
+            int end = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n');
+            int length = (end < 0 ? bytes.writerIndex() : end) - bytes.readerIndex();
+            if (line.length() + length > LONGEST_LINE) {
+                answer(context, "NO the line is longer than " + LONGEST_LINE + " bytes");
+                return;
+            }
+            line.append(bytes.readCharSequence(length, StandardCharsets.US_ASCII));
+            if (end >= 0) {
+                answer(context, desk.apply(line.toString()));
+            }
+        }
+
+        /** The end is the caller's to make, lest what it has sent behind the line take the answer along. */
+        private void answer(ChannelHandlerContext context, String text) {
+            answered = true;
+            context.writeAndFlush(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8))
+                    .addListener(f -> ((SocketChannel) context.channel()).shutdownOutput());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -43,6 +43,8 @@
     /** By the address as the file has it, whose port may be 0. */
     private final Map<InetSocketAddress, ClientServer.Door> doors = new LinkedHashMap<>();
     private Plan plan;
+    /** The classes and limits that hold now. */
+    private Config config;
     /** At whose pace discovery is asked; null for a watch. */
     private FleetPlan paced;
     private OperatorsRouting routing;
@@ -56,6 +58,7 @@
 
     private OperatorsLayout(Parts parts, Path file, Plan plan, PluginChain plugins) {
         this.parts = parts;
+        config = parts.config();
         this.plugins = plugins;
         if (plugins != null) {
             plugins.attach(parts.shared());
@@ -132,12 +135,11 @@
 
     private Member create(PoolPlan p) {
         Cluster made = p.cells() == null ? pool(p) : new CelledPool(parts.shared(),
-                parts.config().settings(), p, this::pool);
+                config.settings(), p, this::pool);
         return new Member(made, p.discovered());
     }
 
     private Pool pool(PoolPlan p) {
-        Config config = parts.config();
         FleetPlan fleet = plan.fleet();
         Settings known = fleet == null ? config.settings() : config.settings().among(fleet.instances());
         Settings settings = known.with(
@@ -172,7 +174,7 @@
 
     @Override
     public RequestView view(FullHttpRequest http) throws RequestReader.BadRequest {
-        return routing.view(http, parts.config().settings().classes());
+        return routing.view(http, config.settings().classes());
     }
 
     @Override
@@ -268,11 +270,11 @@
     }
 
     @Override
-    public Change reread() throws IOException {
-        Plan next = read(file, parts.config());
+    public Change reread(Config nextConfig) throws IOException {
+        Plan next = read(file, nextConfig);
         PluginChain before = plugins;
         PluginChain chain = chain(file, next, before);
-        return () -> take(next).thenRun(() -> swap(before, chain)).whenComplete((v, e) -> {
+        return () -> take(next, nextConfig).thenRun(() -> swap(before, chain)).whenComplete((v, e) -> {
             if (e != null && chain != null) {
                 chain.closeAllBut(before);
             }
@@ -280,16 +282,17 @@
     }
 
     /** The doors first, since only they can fail; the rest is taken over in one turn of the loop. */
-    private CompletableFuture<Void> take(Plan next) {
+    private CompletableFuture<Void> take(Plan next, Config nextConfig) {
         List<Listener> missing = next.listeners().stream()
                 .filter(l -> !doors.containsKey(l.address())).toList();
         return doors(missing).thenAccept(opened -> {
             doors.putAll(opened);
-            swap(next);
+            swap(next, nextConfig);
         });
     }
 
-    private void swap(Plan next) {
+    private void swap(Plan next, Config nextConfig) {
+        config = nextConfig;
         ServerList known = discovered().stream().findFirst().map(Cluster::list)
                 .orElse(parts.config().known());
         Map<String, Member> before = new LinkedHashMap<>(pools);
@@ -300,6 +303,7 @@
             if (member != null && member.discovered() == p.discovered() && member.cluster().fits(p)) {
                 before.remove(p.name());
                 pools.put(p.name(), member);
+                member.cluster().retune(config.settings());
                 member.cluster().limit(p);
                 if (!p.discovered()) {
                     member.cluster().listed(ListKind.COMPLETE, list(p));
@@ -311,6 +315,7 @@
         }
         routing = route(next);
         share(next.fleet());
+        before.values().forEach(member -> member.cluster().retune(config.settings()));
         before.values().forEach(member -> retire(member.cluster()));
         Set<InetSocketAddress> kept = new HashSet<>();
         next.listeners().forEach(l -> kept.add(l.address()));
@@ -337,7 +342,7 @@
     private void retire(Cluster pool) {
         going.add(pool);
         parts.shared().loop().schedule(() -> pool.retire(() -> going.remove(pool)),
-                parts.config().drainGraceMicros(), TimeUnit.MICROSECONDS);
+                config.drainGraceMicros(), TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/main/java/larkbank/sidecar/PlainLayout.java
+++ b/src/main/java/larkbank/sidecar/PlainLayout.java
@@ -51,8 +51,11 @@
     }
 
     @Override
-    public Change reread() {
-        return () -> CompletableFuture.completedFuture(null);
+    public Change reread(Config next) {
+        return () -> {
+            pool.retune(next.settings());
+            return CompletableFuture.completedFuture(null);
+        };
     }
 
     @Override
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -15,12 +15,14 @@
 import java.util.function.Consumer;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
+import larkbank.LoadBalancer.Limits;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Outcome;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Settings;
+import larkbank.daily.Figures.Ending;
 import larkbank.route.PoolPlan;
 import larkbank.sidecar.Call.Attempt;
 
@@ -40,8 +42,9 @@
     private final Consumer<String> log;
     private final LoadBalancer module;
     private final ServerPool servers;
-    private final boolean retryAdvice;
-    private final long longestAdvice;
+    private Settings settings;
+    private boolean retryAdvice;
+    private long longestAdvice;
     private final boolean probing;
     private final long connectMicros;
     /** Null where nothing says how much may be probed. */
@@ -72,6 +75,7 @@
         subscribe = shared.subscribe();
         log = shared.log();
         module = modules.apply(settings, this);
+        this.settings = settings;
         retryAdvice = settings.limits().retryAdvice();
         longestAdvice = settings.limits().maxRetryAdviceMicros();
         probing = settings.limits().probing();
@@ -94,6 +98,16 @@
         return servers.waitingBytes();
     }
 
+    @Override
+    public int listed() {
+        return servers.listed();
+    }
+
+    @Override
+    public int avoided() {
+        return servers.leaving() + module.avoided(clock.micros());
+    }
+
     @Override
     public ServerList list() {
         return servers.list();
@@ -130,8 +144,8 @@
                 Long.parseLong(headers.get(Headers.TIMEOUT)) * 1000);
         Call call = new Call(new Request(id, r.requestClass(), r.tenant(), false, r.key(),
                 clock.micros() + timeout, 0, r.write(), r.terms()),
-                new Way(this, r.requestClass(), first.uri, null, timeout, r.terms(), upgrade), first.method,
-                headers, new byte[0], client);
+                new Way(this, r.requestClass(), first.uri, null, timeout, r.terms(), upgrade),
+                first.className, first.method, headers, new byte[0], client);
         if (inHand.add(call)) {
             upgrade.taken(call);
             take(call);
@@ -145,7 +159,7 @@
         if (call.upgrade != null) {
             call.upgrade.left();
         }
-        over(call);
+        over(call, null);
         tell(null, now -> module.clientLeft(now, call.request.id()));
     }
 
@@ -171,6 +185,18 @@
         tell(null, now -> module.limits(now, plan.requests(), plan.queue(), plan.connections()));
     }
 
+    /** The bounds on what this pool has in hand and open are its own; all else that is told starts anew. */
+    @Override
+    public void retune(Settings next) {
+        Limits mine = settings.limits();
+        Limits limits = next.limits().with(mine.open(), mine.held(), mine.connections());
+        settings = settings.with(next.classes()).with(limits, settings.discoveryOnAsk());
+        retryAdvice = limits.retryAdvice();
+        longestAdvice = limits.maxRetryAdviceMicros();
+        Settings told = settings;
+        tell(null, now -> module.retune(now, told));
+    }
+
     @Override
     public void share(Shares shares) {
         servers.keep(shares == null ? null : shares::idle);
@@ -240,7 +266,7 @@
             headers.remove(Headers.LOAD);
             Call.Client client = call.client;
             call.served = true;
-            over(call);
+            over(call, Ending.SERVED);
             client.answer(HttpResponseStatus.OK, headers, answer.content().retain());
         }
         tell(call, now -> module.outcome(now, new Outcome(call.request.id(), attempt.number, attempt.server,
@@ -256,7 +282,7 @@
         }
         Call.Client client = call.client;
         call.served = true;
-        over(call);
+        over(call, Ending.SERVED);
         Upgrade.End clientEnd = client.goOver(answer);
         if (clientEnd == null) {
             call.upgrade.left();
@@ -267,6 +293,11 @@
                 attempt.switched.host()));
     }
 
+    @Override
+    public void written() {
+        inHand.figures().attempted();
+    }
+
     @Override
     public void carries(long server, double requests, boolean full) {
         tell(null, now -> module.burden(now, server, requests, full));
@@ -365,7 +396,7 @@
         if (call == null || call.over) {
             return;
         }
-        over(call);
+        over(call, ending(status));
         if (call.upgrade == null) {
             call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
         } else if (call.declined == null) {
@@ -387,10 +418,16 @@
         }
     }
 
-    private void over(Call call) {
+    /** What a client may take an answer for, whoever worded it. */
+    static Ending ending(HttpResponseStatus status) {
+        return status.code() == 429 || status.code() == 503 ? Ending.REFUSED : Ending.FAILED;
+    }
+
+    /** The ending is null where the client has left. */
+    private void over(Call call, Ending ending) {
         call.over = true;
         call.expiry.cancel(false);
-        inHand.over(call);
+        inHand.over(call, ending);
         if (call.watch != null) {
             call.watch.answered(call);
         }
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -15,6 +15,7 @@
 import larkbank.Ids;
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Settings;
 import larkbank.LoadBalancer.Terms;
 
@@ -57,20 +58,28 @@
     private static final int MAX_ID = 128;
     private static final long MAX_NUMBER = 1_000_000_000;
 
-    private final Settings settings;
+    private Settings settings;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
 
     RequestReader(Settings settings) {
-        this.settings = settings;
-        for (int i = 0; i < settings.classes().size(); i++) {
-            classes.put(settings.classes().get(i).name(), i);
-        }
+        retune(settings);
         for (int i = 0; i < settings.tenants().size(); i++) {
             tenants.put(settings.tenants().get(i).name(), i);
         }
     }
 
+    /** Other classes hold from now on. */
+    void retune(Settings next) {
+        settings = next;
+        classes.clear();
+        for (int i = 0; i < next.classes().size(); i++) {
+            if (next.classes().get(i) != RequestClass.GONE) {
+                classes.put(next.classes().get(i).name(), i);
+            }
+        }
+    }
+
     /** The way of a request by the first part of its path, which names its class, to the only pool. */
     Way way(FullHttpRequest http, Pool pool) throws BadRequest {
         String path = path(http.uri());
@@ -114,7 +123,8 @@
         if (way.host() != null) {
             headers.set(HttpHeaderNames.HOST, way.host());
         }
-        return new Call(request, way, http.method(), headers, ByteBufUtil.getBytes(http.content()), client);
+        return new Call(request, way, settings.classes().get(requestClass).name(), http.method(), headers,
+                ByteBufUtil.getBytes(http.content()), client);
     }
 
     /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -43,6 +43,9 @@
     interface Listener {
         void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
 
+        /** The last byte of an attempt has been handed to the network. */
+        default void written() { }
+
         /** What a server carries beside requests, in requests in flight. */
         default void carries(long server, double requests, boolean full) { }
     }
@@ -234,6 +237,16 @@
         return nodes.size();
     }
 
+    /** Servers on the list, those that drain among them. */
+    int listed() {
+        return (int) nodes.values().stream().filter(n -> !n.gone).count();
+    }
+
+    /** Servers on the list that are not in service. */
+    int leaving() {
+        return (int) nodes.values().stream().filter(n -> !n.gone && n.leavingSince != 0).count();
+    }
+
     /** The servers as last told, those that are not gone. */
     ServerList list() {
         return new ServerList(0, true, nodes.values().stream().filter(n -> !n.gone)
@@ -440,6 +453,7 @@
         public void written() {
             if (attempt != null) {
                 attempt.written = true;
+                listener.written();
             }
         }
 
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -28,6 +28,10 @@
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Settings;
+import larkbank.daily.ClassPlaces;
+import larkbank.daily.Desk;
+import larkbank.daily.Figures;
+import larkbank.daily.Standing;
 import larkbank.plugin.RequestView;
 import larkbank.websocket.Handshake;
 
@@ -50,10 +54,12 @@
     private final RequestReader reader;
     private final Discovery discovery;
     private final ClientServer clients;
-    private final Config config;
+    /** As last taken over; written on the loop. */
+    private volatile Config config;
     private final Layout layout;
     private final ListFeed feed;
-    private boolean stopping;
+    private final Standing standing = new Standing();
+    private final Desk desk;
 
     /** Makes the layout of a sidecar out of its parts. */
     interface Layouts {
@@ -87,6 +93,21 @@
         layout = layouts.of(new Layout.Parts(config, shared, modules, reader, clients,
                 pace -> discovery.pace(clock, pace)));
         feed = new ListFeed(loop, layout);
+        inHand.figures().show(names(config));
+        desk = new Desk(standing, inHand.figures(), new Fleet(), layout::ready);
+    }
+
+    /** Pools with discovery know the same servers, so one of them tells for all. */
+    private final class Fleet implements Figures.Fleet {
+        @Override
+        public int listed() {
+            return layout.discovered().stream().mapToInt(Cluster::listed).max().orElse(0);
+        }
+
+        @Override
+        public int avoided() {
+            return layout.discovered().stream().mapToInt(Cluster::avoided).max().orElse(0);
+        }
     }
 
     /** Runs a sidecar until it is told to end; the exit status. */
@@ -123,6 +144,9 @@
                 Runtime.getRuntime().halt(0);
             });
             Runtime.getRuntime().addShutdownHook(end);
+            if (config.operator() != null) {
+                sidecar.openToOperators(config.operator()).get();
+            }
             Rehearsal.run(config, arrangement.stage(), REHEARSED, REHEARSAL_MILLIS);
             try {
                 sidecar.start().get();
@@ -147,29 +171,49 @@
     }
 
     /**
-     * Reads the files again, off the loop, and takes over the operators' file, if there is one, and the
-     * address of discovery, which goes before what the environment said at the start. Files that are wrong
-     * anywhere change nothing.
+     * Reads the files again, off the loop, and takes over the operators' file, if there is one, the classes
+     * and attempts of the settings, and the address of discovery, which goes before what the environment said
+     * at the start. Files that are wrong anywhere change nothing.
      *
      * @return done once all is taken over or refused
      */
     CompletableFuture<Void> reload(Map<String, String> environment) {
         try {
-            Config next = Config.reread(environment);
-            Layout.Change change = layout.reread();
-            return CompletableFuture.supplyAsync(change::take, loop).thenCompose(taken -> taken)
-                    .thenRunAsync(() -> discovery.move(next.discovery()), loop)
+            Config read = Config.reread(environment, config);
+            Config next = read.with(CompletableFuture.supplyAsync(() -> ClassPlaces.place(
+                    config.settings().classes(), read.settings().classes(), inHand.classes()), loop).join());
+            Layout.Change change = layout.reread(next);
+            // All in one turn of the loop: no request finds one part of it as it was and another anew.
+            return CompletableFuture.supplyAsync(() -> change.take().thenRun(() -> adopt(next)), loop)
+                    .thenCompose(taken -> taken)
                     .exceptionally(e -> {
-                        log.println("larkbank: " + e.getCause().getMessage()
-                                + "; the old configuration stays");
+                        turnDown("larkbank: " + e.getCause().getMessage());
                         return null;
                     });
         } catch (IOException | RuntimeException e) {
-            log.println(plain(e) + "; the old configuration stays");
+            turnDown(plain(e));
             return CompletableFuture.completedFuture(null);
         }
     }
 
+    private void adopt(Config next) {
+        config = next;
+        reader.retune(next.settings());
+        inHand.figures().show(names(next));
+        inHand.figures().reconfigured(true);
+        discovery.move(next.discovery());
+    }
+
+    private void turnDown(String why) {
+        log.println(why + "; the old configuration stays");
+        loop.execute(() -> inHand.figures().reconfigured(false));
+    }
+
+    private static List<String> names(Config config) {
+        return config.settings().classes().stream().filter(c -> c != RequestClass.GONE)
+                .map(RequestClass::name).toList();
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
@@ -183,6 +227,27 @@
         layout.open();
     }
 
+    /** Opens the operators' door, which tells how things stand also while nothing else is open. */
+    CompletableFuture<InetSocketAddress> openToOperators(InetSocketAddress address) {
+        return CompletableFuture.supplyAsync(() -> new OperatorsDoor(loop, this::asked).listen(address), loop)
+                .thenCompose(open -> open);
+    }
+
+    /** A line of an operator, on the loop; what it changes holds when the answer goes out. */
+    private String asked(String line) {
+        String answer = desk.answer(line);
+        followStanding();
+        return answer;
+    }
+
+    private void followStanding() {
+        if (standing.drains()) {
+            clients.drain();
+        } else {
+            clients.undrain();
+        }
+    }
+
     /** Hands out the first lists and opens the doors; gives an address once clients can connect. */
     CompletableFuture<InetSocketAddress> start() {
         return CompletableFuture.supplyAsync(() -> {
@@ -192,7 +257,11 @@
                 discovery.subscribe();
             }
             return layout.listen();
-        }, loop).thenCompose(address -> address);
+        }, loop).thenCompose(address -> address).thenApplyAsync(address -> {
+            standing.on(Standing.Event.OPENED);
+            followStanding();
+            return address;
+        }, loop);
     }
 
     /** Servers that some pool with discovery knows. */
@@ -207,10 +276,9 @@
 
     /** Answers all in hand, then ends. */
     void stop(Runnable ended) {
-        if (stopping) {
+        if (!standing.on(Standing.Event.TERMINATE)) {
             return;
         }
-        stopping = true;
         layout.stopping();
         clients.end(() -> {
             discovery.close();
@@ -219,6 +287,11 @@
         });
     }
 
+    @Override
+    public void clients(int count) {
+        standing.on(count == 0 ? Standing.Event.EMPTY : Standing.Event.CLIENT);
+    }
+
     @Override
     public void listed(ServerList list) {
         feed.take(list);
@@ -236,7 +309,7 @@
 
     @Override
     public boolean ready() {
-        return !stopping && layout.ready();
+        return standing.serves() && layout.ready();
     }
 
     @Override
@@ -295,7 +368,12 @@
         List<RequestClass> classes = config.settings().classes();
         RequestClass own = classes.get(way.requestClass());
         int other = IntStream.range(0, classes.size())
-                .filter(i -> classes.get(i).name().equals(result.requestClass())).findFirst().orElseThrow();
+                .filter(i -> classes.get(i).name().equals(result.requestClass())).findFirst().orElse(-1);
+        if (other < 0) {
+            log("plug-in " + result.classFrom() + " names class " + result.requestClass()
+                    + ", which was dropped");
+            return way;
+        }
         boolean weaker = classes.get(other).effect().ordinal() < own.effect().ordinal();
         String pair = own.name() + ">" + result.requestClass();
         if (weaker && !chain.plan(result.classFrom()).grant().weaken().contains(pair)) {
@@ -308,7 +386,7 @@
 
     private void admit(long now, FullHttpRequest http, Call.Client client, Way way)
             throws RequestReader.BadRequest {
-        if (way.upgrade() != null && stopping) {
+        if (way.upgrade() != null && !standing.serves()) {
             client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE,
                     new DefaultHttpHeaders().set(HttpHeaderNames.RETRY_AFTER, "1"), Unpooled.EMPTY_BUFFER);
             return;
--- a/src/test/java/larkbank/HeldQueueTest.java
+++ b/src/test/java/larkbank/HeldQueueTest.java
@@ -23,7 +23,7 @@
     void newestAndOldestAreThoseOfAPlainList() {
         long seed = 5;
         SplittableRandom random = new SplittableRandom(seed);
-        HeldQueue<Waiting> queue = new HeldQueue<>(3, 2);
+        HeldQueue<Waiting> queue = new HeldQueue<>(3);
         List<Waiting> plain = new ArrayList<>();
         for (int round = 0; round < 20_000; round++) {
             if (plain.isEmpty() || random.nextInt(100) < 52) {
--- a/src/test/java/larkbank/sidecar/ServerPoolTest.java
+++ b/src/test/java/larkbank/sidecar/ServerPoolTest.java
@@ -68,7 +68,7 @@
         long now = clock.micros();
         Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, 0, false);
         Call call = new Call(request, new Way(null, 0, "/search", null, Long.MAX_VALUE, Terms.NONE, null),
-                HttpMethod.GET, new DefaultHttpHeaders(),
+                "search", HttpMethod.GET, new DefaultHttpHeaders(),
                 new byte[0], null);
         Attempt attempt = new Attempt(call, Ids.of("s-" + port), now, request.deadlineMicros());
         harness.loop.submit(() -> pool.start(attempt)).get();
