--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -70,7 +72,7 @@
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final Service service;
-    private final int most;
+    private int most;
     private boolean sweeping;
     private boolean draining;
     private long drainingSince;
@@ -81,17 +83,24 @@
     /** How many connections are accepted in one turn of the loop. */
     private final ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
     private final List<Door> doors = new ArrayList<>();
+    /** Listens already, at the address of the first door; null where none was inherited or it is taken. */
+    private ServerSocketChannel inherited;
+    /** Whose connections come by way of another door, which lends them; null for none. */
+    private Door lent;
 
     /** An address that is listened on. */
     static final class Door {
         private final Channel channel;
         /** It goes: its connections end after their answers. */
         private boolean closing;
+        /** Other processes listen on the same socket. */
+        private final boolean shared;
         private long closingSince;
         private long acceptedAt;
 
-        private Door(Channel channel, long now) {
+        private Door(Channel channel, boolean shared, long now) {
             this.channel = channel;
+            this.shared = shared;
             acceptedAt = now;
         }
 
@@ -114,13 +123,46 @@
         this.log = log;
     }
 
+    /** Another bound on connections, from now on. */
+    void bound(int connections) {
+        most = connections;
+        makeRoom();
+    }
+
+    /** The next door that opens listens on this socket, which is another process's too. */
+    void inherit(ServerSocketChannel listening) {
+        inherited = listening;
+    }
+
+    /**
+     * Takes a connection over that another door has accepted, with the bytes that it has read; both loops
+     * know nothing else of it.
+     */
+    void adopt(Channel listening, Channel connection, ByteBuf first) {
+        loop.register(connection).addListener(f -> {
+            if (!f.isSuccess()) {
+                first.release();
+                connection.close();
+                return;
+            }
+            lent = lent == null ? new Door(listening, false, now()) : lent;
+            new ClientConnection(this, lent, connection).begin();
+            connection.pipeline().fireChannelActive();
+            connection.pipeline().fireChannelRead(first);
+            connection.pipeline().fireChannelReadComplete();
+            connection.config().setAutoRead(true);
+        });
+    }
+
     /** Opens a door; the future is done once clients can connect to it. */
     CompletableFuture<Door> listen(InetSocketAddress address) {
         CompletableFuture<Door> open = new CompletableFuture<>();
         Door[] door = new Door[1];
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+        ServerSocketChannel listening = inherited;
+        inherited = null;
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop, loop)
+                .channelFactory(() -> listening == null ? new NioServerSocketChannel()
+                        : new NioServerSocketChannel(listening))
                 .option(ChannelOption.RECVBUF_ALLOCATOR, accepts)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
@@ -128,8 +170,11 @@
                     protected void initChannel(Channel c) {
                         new ClientConnection(ClientServer.this, door[0], c).begin();
                     }
-                }).bind(address);
-        door[0] = new Door(bound.channel(), now());
+                });
+        ChannelFuture bound = listening != null ? bootstrap.register()
+                : bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true).bind(address);
+        door[0] = new Door(bound.channel(), listening != null, now());
         bound.addListener(f -> {
             if (f.isSuccess()) {
                 doors.add(door[0]);
@@ -150,7 +195,7 @@
      * to the service before, which may answer it at once.
      */
     Future<Void> close() {
-        doors.forEach(door -> Link.readNow(door.channel));
+        doors.stream().filter(door -> !door.shared).forEach(door -> Link.readNow(door.channel));
         List.copyOf(connections).forEach(ClientConnection::readNow);
         List.copyOf(connections).forEach(ClientConnection::close);
         List.copyOf(switched).forEach(ClientConnection::close);
@@ -180,9 +225,17 @@
     /**
      * Goes on accepting while clients still connect, then ends each connection after its answer. Idle ones
      * are closed before the listening socket, so that a request that crosses the closing can come again. The
-     * socket stays for a while where some may wait to be accepted, for its end would reset them.
+     * socket stays for a while where some may wait to be accepted, for its end would reset them; but one that
+     * other processes listen on too is theirs from now on, with all that waits in its queue.
      */
     void end(Door door, Runnable ended) {
+        if (door.shared) {
+            door.closing = true;
+            door.closingSince = now();
+            door.channel.close();
+            endQuietly(door, ended);
+            return;
+        }
         loop.schedule(() -> {
             door.closing = true;
             door.closingSince = now();
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -32,6 +32,8 @@
      * hold 11; discovery's connection, a second one while it moves, and the configuration read again make 14.
      */
     private static final int OWN_DESCRIPTORS = 24;
+    /** What the rehearsal of a process beside this one takes of the descriptors that both share. */
+    private static final int REHEARSAL_DESCRIPTORS = 48;
     /** Of the requests that clients can have in hand, the part that is kept free. */
     private static final int FREE_PART = 32;
     private static final int LEAST_DESCRIPTORS = 128;
@@ -75,6 +77,14 @@
                 shape);
     }
 
+    /** The same within three quarters of its descriptors, while another process still has some. */
+    Config beside() {
+        int part = Math.max(LEAST_DESCRIPTORS, sockets / 4 * 3);
+        return new Config(name, listen, discovery, operator, part, settings.with(settings.limits()
+                .with(open(settings.limits(), part), settings.limits().held(), serverConnections(part)),
+                settings.discoveryOnAsk()), connectMicros, drainGraceMicros, known, lists, shape);
+    }
+
     /** The same with its classes at these numbers. */
     Config with(List<RequestClass> placed) {
         return new Config(name, listen, discovery, operator, sockets, settings.with(placed), connectMicros,
@@ -107,6 +117,7 @@
         InetSocketAddress operator = operator(c, environment.get("LB_OPERATOR"));
         // The operators' door takes its part before clients and servers share the rest.
         sockets -= operator == null ? 0 : OperatorsDoor.CALLERS + 1;
+        sockets -= InheritedSocket.promised(environment.get("LB_SOCKET_FD")) ? REHEARSAL_DESCRIPTORS : 0;
         return new Config(text(c, "name", environment.get("LB_NAME")),
                 Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
                 Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), operator, sockets,
@@ -143,11 +154,14 @@
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                Math.min(l.open(), sockets / 3 - Math.max(1, sockets / 3 / FREE_PART)), l.held(),
-                l.secondCopies(), serverConnections(sockets));
+                open(l, sockets), l.held(), l.secondCopies(), serverConnections(sockets));
         return s.with(kept, s.discoveryOnAsk());
     }
 
+    private static int open(Limits l, int sockets) {
+        return Math.min(l.open(), sockets / 3 - Math.max(1, sockets / 3 / FREE_PART));
+    }
+
     /** Null where operators have no door. */
     private static InetSocketAddress operator(Map<?, ?> c, String first) throws IOException {
         boolean told = first != null && !first.isEmpty() || c.get("operator") != null;
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -67,5 +67,8 @@
      */
     Change reread(Config next) throws IOException;
 
+    /** There are more descriptors now than it was made with. */
+    default void widen(Config wider) { }
+
     void close();
 }
--- a/src/main/java/larkbank/sidecar/OperatorsDoor.java
+++ b/src/main/java/larkbank/sidecar/OperatorsDoor.java
@@ -33,6 +33,8 @@
 
     private final EventLoop loop;
     private final UnaryOperator<String> desk;
+    private Channel listening;
+    private Lending lending;
     private final ArrayDeque<Channel> callers = new ArrayDeque<>();
 
     OperatorsDoor(EventLoop loop, UnaryOperator<String> desk) {
@@ -40,6 +42,21 @@
         this.desk = desk;
     }
 
+    /** Takes connections over that speak HTTP, while somebody wants them. */
+    interface Lending {
+        void take(Channel door, Channel connection, ByteBuf first);
+    }
+
+    /** From now on connections that speak HTTP are lent to this one; null for none, and they are refused. */
+    void lend(Lending to) {
+        lending = to;
+    }
+
+    /** Where it listens. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
     /** Opens; done once operators can connect. */
     CompletableFuture<InetSocketAddress> listen(InetSocketAddress address) {
         CompletableFuture<InetSocketAddress> open = new CompletableFuture<>();
@@ -51,6 +68,7 @@
                         c.pipeline().addLast(new Caller());
                     }
                 }).bind(address);
+        listening = bound.channel();
         bound.addListener(f -> {
             if (f.isSuccess()) {
                 open.complete((InetSocketAddress) bound.channel().localAddress());
@@ -74,7 +92,11 @@
             Channel channel = context.channel();
             callers.addLast(channel);
             channel.closeFuture().addListener(f -> callers.remove(channel));
-            loop.schedule(() -> channel.close(), PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> {
+                if (callers.contains(channel)) {
+                    channel.close();
+                }
+            }, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -82,6 +104,11 @@
             if (answered) {
                 return;
             }
+            if (lending != null && line.length() == 0 && speaksHttp(bytes)) {
+                answered = true;
+                lendOut(context, bytes.retain());
+                return;
+            }
             int end = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n');
             int length = (end < 0 ? bytes.writerIndex() : end) - bytes.readerIndex();
             if (line.length() + length > LONGEST_LINE) {
@@ -94,6 +121,22 @@
             }
         }
 
+        /** No call of operators begins with a method and a path. */
+        private static boolean speaksHttp(ByteBuf bytes) {
+            String head = bytes.toString(bytes.readerIndex(), Math.min(6, bytes.readableBytes()),
+                    StandardCharsets.US_ASCII);
+            return head.startsWith("GET /") || head.startsWith("POST /");
+        }
+
+        private void lendOut(ChannelHandlerContext context, ByteBuf first) {
+            Channel connection = context.channel();
+            Lending to = lending;
+            callers.remove(connection);
+            connection.config().setAutoRead(false);
+            context.pipeline().remove(this);
+            connection.deregister().addListener(f -> to.take(listening, connection, first));
+        }
+
         /** The end is the caller's to make, lest what it has sent behind the line take the answer along. */
         private void answer(ChannelHandlerContext context, String text) {
             answered = true;
--- a/src/main/java/larkbank/sidecar/PlainLayout.java
+++ b/src/main/java/larkbank/sidecar/PlainLayout.java
@@ -58,6 +58,16 @@
         };
     }
 
+    @Override
+    public void widen(Config wider) {
+        pool.bound(wider.settings().limits());
+    }
+
+    @Override
+    public void stopping() {
+        pool.stopping();
+    }
+
     @Override
     public void close() {
         pool.close();
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -185,6 +185,19 @@
         tell(null, now -> module.limits(now, plan.requests(), plan.queue(), plan.connections()));
     }
 
+    /** Other bounds on what it has in hand and open. */
+    void bound(Limits wider) {
+        settings = settings.with(settings.limits().with(wider.open(), wider.held(), wider.connections()),
+                settings.discoveryOnAsk());
+        servers.limit(wider.connections(), null);
+        tell(null, now -> module.limits(now, wider.open(), wider.held(), wider.connections()));
+    }
+
+    /** The process is to end: connections that nothing is asked on are of no use any more. */
+    void stopping() {
+        servers.keep(known -> 0);
+    }
+
     /** The bounds on what this pool has in hand and open are its own; all else that is told starts anew. */
     @Override
     public void retune(Settings next) {
--- a/src/main/java/larkbank/sidecar/Rehearsal.java
+++ b/src/main/java/larkbank/sidecar/Rehearsal.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import larkbank.LoadBalancer.Effect;
@@ -32,8 +33,8 @@
 
 /**
  * Made-up requests before the first real one: a sidecar of its own, whose only servers are this very class
- * behind the address that it will listen on, serves clients that are this class too. Nothing of it outlasts
- * the rehearsal but the code that the runtime has compiled, and nothing leaves the process.
+ * behind an address that the sidecar listens on, serves clients that are this class too. Nothing of it
+ * outlasts the rehearsal but the code that the runtime has compiled, and nothing leaves the process.
  *
  * <p>Without it a sidecar is open to all of its clients while each of their requests costs tens of times its
  * usual CPU time and the compiler takes half of what there is; what then waits is late, is asked for again,
@@ -59,7 +60,7 @@
     /** Ids that the sidecar has been asked for: what comes again under one of them comes from the sidecar. */
     private final Set<String> asked = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final InetSocketAddress where;
+    private final Stage place;
     private final int requests;
     private final ClientServer stage;
     private Sidecar sidecar;
@@ -67,10 +68,19 @@
     private int answered;
     private boolean over;
 
-    private Rehearsal(EventLoop loop, Config config, InetSocketAddress where, int requests) {
+    /** Where it is played: clients connect there, and it has what they say. */
+    interface Stage {
+        /** Opens for it; the address is there once clients can connect. */
+        CompletableFuture<InetSocketAddress> open(ClientServer to);
+
+        /** Nothing comes by this way any more. */
+        default void close() { }
+    }
+
+    private Rehearsal(EventLoop loop, Config config, Stage place, int requests) {
         this.loop = loop;
         this.config = config;
-        this.where = where;
+        this.place = place;
         this.requests = requests;
         prefix = Long.toHexString(new SplittableRandom(config.settings().seed()).nextLong()) + "-";
         stage = new ClientServer(loop, this, SOCKETS, line -> { });
@@ -79,9 +89,15 @@
     /** Goes through so many requests, or as many as there is time for; how many were answered. */
     static int run(Config config, InetSocketAddress where, int requests, long millis)
             throws InterruptedException {
+        return run(config, stage -> stage.listen(where).thenApply(ClientServer.Door::address), requests,
+                millis);
+    }
+
+    /** The same on another stage than an address of its own. */
+    static int run(Config config, Stage place, int requests, long millis) throws InterruptedException {
         // A loop of its own: with it go all connections and timers of the rehearsal.
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Rehearsal rehearsal = new Rehearsal(group.next(), config, where, requests);
+        Rehearsal rehearsal = new Rehearsal(group.next(), config, place, requests);
         try {
             rehearsal.loop.execute(rehearsal::open);
             rehearsal.ended.await(millis, TimeUnit.MILLISECONDS);
@@ -95,13 +111,13 @@
     }
 
     private void open() {
-        stage.listen(where).whenComplete((door, failure) -> {
+        place.open(stage).whenCompleteAsync((address, failure) -> {
             if (failure == null) {
-                begin(door.address());
+                begin(address);
             } else {
                 ended.countDown();
             }
-        });
+        }, loop);
     }
 
     /**
@@ -110,6 +126,7 @@
      */
     private void close(Runnable closed) {
         over = true;
+        place.close();
         stage.close().addListener(f -> loop.schedule(closed, TURN_MILLIS, TimeUnit.MILLISECONDS));
     }
 
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -116,23 +117,35 @@
     }
 
     /** The same with an operators' file; null for none. */
-    public static int serve(Map<String, String> environment, Path operators, PrintStream log) {
+    public static int serve(Map<String, String> environment, Path operators, PrintStream errors) {
         Config config;
         Arrangement arrangement;
+        String descriptor = environment.get("LB_SOCKET_FD");
+        PrintStream log = InheritedSocket.promised(descriptor) ? InheritedSocket.keep(errors) : errors;
+        ServerSocketChannel inherited = null;
         try {
             config = Config.read(environment);
             arrangement = operators == null ? new Arrangement(PlainLayout::new, config.listen())
                     : OperatorsLayout.of(operators, config);
+            if (InheritedSocket.promised(descriptor)) {
+                inherited = InheritedSocket.take(descriptor);
+            }
         } catch (IOException e) {
             log.println(plain(e));
             return 2;
         }
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
+        OneAtATime others = inherited == null ? null : OneAtATime.in(environment.get("TMPDIR"));
+        boolean alone = others == null || others.alone();
+        Config within = alone ? config : config.beside();
         CountDownLatch ended = new CountDownLatch(1);
         try {
             Sidecar sidecar = loop.submit(
-                    () -> new Sidecar(loop, config, log, Choice::new, arrangement.layouts())).get();
+                    () -> new Sidecar(loop, within, log, Choice::new, arrangement.layouts())).get();
+            if (!alone) {
+                others.whenAlone(() -> loop.execute(() -> sidecar.widen(config)));
+            }
             // One after the other, so that the last file read is the last one taken over.
             ExecutorService reading = Executors.newSingleThreadExecutor(
                     new DefaultThreadFactory("reading", true));
@@ -144,10 +157,9 @@
                 Runtime.getRuntime().halt(0);
             });
             Runtime.getRuntime().addShutdownHook(end);
-            if (config.operator() != null) {
-                sidecar.openToOperators(config.operator()).get();
-            }
-            Rehearsal.run(config, arrangement.stage(), REHEARSED, REHEARSAL_MILLIS);
+            OperatorsDoor door = config.operator() == null ? null
+                    : sidecar.openToOperators(config.operator()).get();
+            sidecar.rehearse(config, arrangement.stage(), inherited, door);
             try {
                 sidecar.start().get();
             } catch (ExecutionException e) {
@@ -228,9 +240,43 @@
     }
 
     /** Opens the operators' door, which tells how things stand also while nothing else is open. */
-    CompletableFuture<InetSocketAddress> openToOperators(InetSocketAddress address) {
-        return CompletableFuture.supplyAsync(() -> new OperatorsDoor(loop, this::asked).listen(address), loop)
-                .thenCompose(open -> open);
+    CompletableFuture<OperatorsDoor> openToOperators(InetSocketAddress address) {
+        return CompletableFuture.supplyAsync(() -> {
+            OperatorsDoor door = new OperatorsDoor(loop, this::asked);
+            return door.listen(address).thenApply(open -> door);
+        }, loop).thenCompose(open -> open);
+    }
+
+    /**
+     * Rehearses at an address that it listens on. Where others listen on the clients' socket too, a rehearsal
+     * there would meet them, and take clients that it can't serve; then the operators' door lends its own.
+     */
+    private void rehearse(Config at, InetSocketAddress stage, ServerSocketChannel inherited,
+            OperatorsDoor door) throws InterruptedException {
+        if (inherited == null) {
+            Rehearsal.run(at, stage, REHEARSED, REHEARSAL_MILLIS);
+            return;
+        }
+        loop.execute(() -> clients.inherit(inherited));
+        if (door != null) {
+            Rehearsal.run(at, new LentStage(loop, door), REHEARSED, REHEARSAL_MILLIS);
+        }
+    }
+
+    /** A rehearsal by way of the operators' door. */
+    private record LentStage(EventLoop loop, OperatorsDoor door) implements Rehearsal.Stage {
+        @Override
+        public CompletableFuture<InetSocketAddress> open(ClientServer to) {
+            return CompletableFuture.supplyAsync(() -> {
+                door.lend(to::adopt);
+                return door.address();
+            }, loop);
+        }
+
+        @Override
+        public void close() {
+            loop.execute(() -> door.lend(null));
+        }
     }
 
     /** A line of an operator, on the loop; what it changes holds when the answer goes out. */
@@ -264,6 +310,13 @@
         }, loop);
     }
 
+    /** The process that ran beside this one has ended. */
+    private void widen(Config wider) {
+        log("alone now, with " + wider.clientConnections() + " connections of clients");
+        clients.bound(wider.clientConnections());
+        layout.widen(wider);
+    }
+
     /** Servers that some pool with discovery knows. */
     int knownServers() {
         return layout.discovered().stream().mapToInt(Cluster::knownServers).max().orElse(0);
--- a/src/test/java/larkbank/sidecar/DailyTest.java
+++ b/src/test/java/larkbank/sidecar/DailyTest.java
@@ -39,7 +39,7 @@
     void start() throws Exception {
         server = new Stub(Stub.serves("ok"));
         harness = new Harness(folder, server).start();
-        door = harness.sidecar.openToOperators(new InetSocketAddress("127.0.0.1", 0)).get();
+        door = harness.sidecar.openToOperators(new InetSocketAddress("127.0.0.1", 0)).get().address();
     }
 
     @AfterEach
--- /dev/null
+++ b/src/test/java/larkbank/testkit/Platform.java
@@ -0,0 +1,91 @@
+package larkbank.testkit;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Writer;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Assertions;
+
+/**
+ * Holds a listening socket and starts programs that inherit it as descriptor 0, which the runtime can't do
+ * for its own children. Each line that it is told is a command; it tells of each start and each end.
+ */
+public final class Platform implements AutoCloseable {
+
+    private static final String HOLDER = String.join("\n",
+            "use strict; use Socket; use POSIX qw(:sys_wait_h dup2 dup); $| = 1;",
+            "socket(my $s, PF_INET, SOCK_STREAM, 0) or die; $^F = 20;",
+            "bind($s, sockaddr_in(0, inet_aton('127.0.0.1'))) or die; listen($s, 128) or die;",
+            "my ($port) = sockaddr_in(getsockname($s)); print \"port $port\\n\";",
+            "my %running;",
+            "while (1) {",
+            "  my $bits = ''; vec($bits, 0, 1) = 1;",
+            "  if (select($bits, undef, undef, 0.02)) {",
+            "    my $line = ''; my $c;",
+            "    while (1) { my $n = sysread(STDIN, $c, 1); if (!$n) { kill 'KILL', keys %running; exit 0; }",
+            "      last if $c eq \"\\n\"; $line .= $c; }",
+            "    my $pid = fork();",
+            "    if (!$pid) { dup2(fileno($s), 0); exec('sh', '-c', $line); exit 99; }",
+            "    $running{$pid} = 1; print \"started $pid\\n\";",
+            "  }",
+            "  while ((my $pid = waitpid(-1, WNOHANG)) > 0) { delete $running{$pid};",
+            "    print \"ended $pid \", ($? >> 8) + ($? & 127), \"\\n\"; }",
+            "}");
+
+    public final InetSocketAddress address;
+    private final Process holder;
+    private final Writer commands;
+    private final BlockingQueue<String> started = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+
+    public Platform() throws IOException {
+        holder = new ProcessBuilder("perl", "-e", HOLDER).redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        commands = holder.outputWriter(StandardCharsets.UTF_8);
+        var words = new BufferedReader(new InputStreamReader(holder.getInputStream(),
+                StandardCharsets.UTF_8));
+        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(words.readLine().split(" ")[1]));
+        Thread reader = new Thread(() -> words.lines().forEach(
+                w -> (w.startsWith("started") ? started : ended).add(w.substring(w.indexOf(' ') + 1))));
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Starts a program with these variables and this file for what it says; its process id. */
+    public long start(String command, Map<String, String> environment, Path log) throws Exception {
+        StringBuilder line = new StringBuilder("LB_SOCKET_FD=0 ");
+        environment.forEach((name, value) -> line.append(name).append("='").append(value).append("' "));
+        commands.write(line + "exec " + command + " >>" + log + " 2>&1\n");
+        commands.flush();
+        String pid = started.poll(10, TimeUnit.SECONDS);
+        Assertions.assertNotNull(pid, "nothing was started");
+        return Long.parseLong(pid);
+    }
+
+    /** Waits for the end of a program; its status. */
+    public int awaitEnd(long pid) throws InterruptedException {
+        String end = ended.poll(20, TimeUnit.SECONDS);
+        Assertions.assertNotNull(end, "nothing ended");
+        Assertions.assertEquals(String.valueOf(pid), end.split(" ")[0], "another ended");
+        return Integer.parseInt(end.split(" ")[1]);
+    }
+
+    /** Whether any program has ended that nobody waited for. */
+    public boolean lostOne() {
+        return !ended.isEmpty();
+    }
+
+    /** Ends what still runs. */
+    @Override
+    public void close() throws IOException {
+        commands.close();
+        holder.onExit().join();
+    }
+}
