--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -86,7 +86,6 @@
     private final double rateSpan, probesPerRequest;
     private Settings settings;
     private Limits limits;
-    private double aimMicros;
     private boolean anySafe;
     /** No server comes any more. */
     private boolean closing;
@@ -119,7 +118,7 @@
     private final Remeasured warmth = new Remeasured(50_000);
 
     private final Means kindPace = new Means(1, POOL_WEIGHT), zonePace = new Means(1, POOL_WEIGHT);
-    private double usualHint, retryTokens = RETRY_SAVED / 2;
+    private double aimMicros, usualHint, retryTokens = RETRY_SAVED / 2;
     private long taken;
     /** Further attempts against the requests taken, where the site sets a budget. */
     private final WindowBudget extras;
@@ -1004,7 +1003,7 @@
         }
         while (!slow.isEmpty() && slow.peek().hangsAt <= now) {
             Attempt a = slow.poll();
-            if (a.result == null && !a.suspected) suspect(now, a, true);
+            if (a.result == null && !a.suspected && !a.of.streaming) suspect(now, a, true);
         }
     }
 
@@ -1121,7 +1120,7 @@
         Attempt began = p.attempts.get(attempt);
         sample(now, began.server, elapsedMicros / began.usual);
         began.server.out.remove(began);
-
+        outstanding.remove(began);
     }
 
     @Override
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -20,6 +20,14 @@
         /** Takes the content over. */
         void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content);
 
+        /**
+         * Passes an answer on as it comes; null where the client is gone. The length is below 0 where it is
+         * not known. The task is run once more may be passed after there was too much.
+         */
+        default Passing pass(HttpHeaders headers, long length, Runnable resume) {
+            return null;
+        }
+
         /** Answers what is no request and ends the connection. */
         default void reject(RequestReader.BadRequest why) { }
 
@@ -57,7 +65,8 @@
     /** The longest that it may take, whatever its client says. */
     final long timeoutMicros;
     final HttpHeaders headers;
-    final byte[] body;
+    /** Kept until the request is forgotten. */
+    final ByteBuf body;
     final Client client;
     final List<Attempt> attempts = new ArrayList<>(2);
     /** Attempts that have not ended. */
@@ -69,9 +78,12 @@
     /** The last answer to an upgrade that was no 101, of a server that may have run it. */
     Declined declined;
     Future<?> expiry;
+    /** The attempt whose answer is passed on as it comes, and where to; null while there is none. */
+    Attempt passed;
+    Passing passing;
 
     Call(Request request, Way way, String className, HttpMethod method,
-            HttpHeaders headers, byte[] body, Client client) {
+            HttpHeaders headers, ByteBuf body, Client client) {
         this.request = request;
         this.className = className;
         cluster = way.cluster();
@@ -118,6 +130,8 @@
         final long server;
         final long sentAt;
         final long giveUpAt;
+        /** When its answer began to be passed on; 0 for never. */
+        long begunAt;
         /** The last byte of the request has left, so from here on it may have run. */
         boolean written;
         Result result;
--- a/src/main/java/larkbank/sidecar/ClientConnection.java
+++ b/src/main/java/larkbank/sidecar/ClientConnection.java
@@ -5,18 +5,23 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -35,13 +40,17 @@
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
     /** From the connection, or from a later request's first byte, to its last one. */
-    private static final long REQUEST_MILLIS = 2_000;
+    private static final long REQUEST_MILLIS = 2_500;
+    /** A body has that time too, and as much more as it takes at this pace, in bytes a millisecond. */
+    private static final int LEAST_PACE = 16;
     /** Without a request in hand, since the last answer. */
     private static final long IDLE_MILLIS = 5_000;
     /** A connection that has said nothing for so long goes before one that was answered. */
     private static final long SILENT_MILLIS = 1_000;
-    /** An answer that the client does not take in this time is given up. */
+    /** An answer of which the client takes nothing in this time is given up. */
     private static final long WRITE_MILLIS = 5_000;
+    /** So much waits to be written before the server is held back, and so little before it goes on. */
+    private static final WriteBufferWaterMark WAITING = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     /**
      * A rejected client may go on sending for so long, or be quiet for so long: closing with bytes unread
      * resets the connection, and the client could lose the answer.
@@ -55,6 +64,7 @@
     private final ClientServer.Door door;
     private final Channel channel;
     private final Decoder decoder;
+    private final RequestCollector collector;
     private final long openedAt;
     /** Waits for the answer to the request in hand. */
     private Exchange client;
@@ -68,6 +78,8 @@
     private long heardAt;
     private boolean writing;
     private long answeredAt;
+    /** When the client last took something of an answer. */
+    private long progressAt;
     /** Nothing that comes counts any more. */
     private boolean deaf;
     /** Something failed while a request was dealt with. */
@@ -84,11 +96,13 @@
         openedAt = server.now();
         awaitedSince = openedAt;
         decoder = new Decoder(server.service()::upgrades);
+        collector = new RequestCollector(server.uploads(), this::reject);
     }
 
     /** The front's pipeline. */
     void begin() {
-        channel.pipeline().addLast(new Gate(this), decoder, new HttpResponseEncoder(), new Whole(this), this);
+        channel.pipeline().addLast(new Gate(this), decoder, new HttpResponseEncoder(), collector, this);
+        channel.config().setWriteBufferWaterMark(WAITING);
     }
 
     ClientServer.Door door() {
@@ -168,6 +182,12 @@
         if (client != null && !deaf && client.upgrading) {
             return true;
         }
+        if (client != null && client.passing != null) {
+            // Its answer has begun, so nothing else can be said.
+            giveUp();
+            channel.close();
+            return false;
+        }
         if (client != null && !deaf) {
             // Clients send one request at a time. What comes behind can't be told from a wrong length of
             // the one in hand, which so is no request either.
@@ -196,11 +216,12 @@
     }
 
     void checkTimes() {
-        if (client != null || switched) {
+        boolean passing = client != null && client.passing != null;
+        if (client != null && !passing || switched) {
             return;
         }
-        if (writing) {
-            if (server.millisSince(answeredAt) > WRITE_MILLIS) {
+        if (writing || passing) {
+            if (waitingBytes() > 0 && server.millisSince(progressAt) > WRITE_MILLIS) {
                 channel.close();
             }
         } else if (deaf) {
@@ -210,7 +231,8 @@
             closeAfter(answeredAt, IDLE_MILLIS);
         } else if (heard == 0) {
             closeAfter(openedAt, REQUEST_MILLIS);
-        } else if (server.millisSince(awaitedSince) > REQUEST_MILLIS && !restComes()) {
+        } else if (!collector.waits() && server.millisSince(awaitedSince)
+                > REQUEST_MILLIS + collector.size() / LEAST_PACE && !restComes()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
         }
     }
@@ -288,7 +310,7 @@
             return;
         }
         awaited = false;
-        client = new Exchange(HttpUtil.isKeepAlive(http));
+        client = new Exchange(HttpUtil.isKeepAlive(http), http.protocolVersion());
         if (http.decoderResult().isSuccess() && http.uri().equals("/healthz")) {
             client.answer(server.service().ready() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(),
@@ -316,7 +338,7 @@
             return;
         }
         release();
-        client = new Exchange(false);
+        client = new Exchange(false, HttpVersion.HTTP_1_1);
         client.answer(status, headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
                 Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8));
     }
@@ -346,10 +368,36 @@
     /** One request in hand and its answer; only the first answer counts. */
     private final class Exchange implements Call.Client {
         private final boolean keep;
+        private final HttpVersion version;
         private boolean upgrading;
+        /** Its answer is on its way, as it comes; null before and after. */
+        private Passed passing;
 
-        Exchange(boolean keep) {
+        Exchange(boolean keep, HttpVersion version) {
             this.keep = keep;
+            this.version = version;
+        }
+
+        @Override
+        public Passing pass(HttpHeaders headers, long length, Runnable resume) {
+            if (client != this || !channel.isActive() || passing != null) {
+                return null;
+            }
+            boolean chunks = length < 0 && version.equals(HttpVersion.HTTP_1_1);
+            boolean last = !keep || upgrading || broken || server.endsAfterAnswer(door)
+                    || length < 0 && !chunks;
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, headers);
+            if (length >= 0) {
+                HttpUtil.setContentLength(head, length);
+            }
+            HttpUtil.setTransferEncodingChunked(head, chunks);
+            if (last) {
+                headers.set(HttpHeaderNames.CONNECTION, "close");
+            }
+            progressAt = server.now();
+            passing = new Passed(this, resume, last);
+            channel.writeAndFlush(head);
+            return passing;
         }
 
         @Override
@@ -366,6 +414,11 @@
                 content.release();
                 return;
             }
+            if (passing != null) {
+                content.release();
+                passing.cut();
+                return;
+            }
             client = null;
             deaf = !keep || upgrading || broken || server.endsAfterAnswer(door);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
@@ -376,6 +429,7 @@
             }
             writing = true;
             answeredAt = server.now();
+            progressAt = answeredAt;
             channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
         }
 
@@ -424,6 +478,59 @@
         }
     }
 
+    /**
+     * An answer as it comes. Where it breaks off the connection is reset, which no client takes for an
+     * end.
+     */
+    private final class Passed implements Passing {
+        private final Exchange exchange;
+        private final Runnable resume;
+        private final boolean last;
+
+        Passed(Exchange exchange, Runnable resume, boolean last) {
+            this.exchange = exchange;
+            this.resume = resume;
+            this.last = last;
+        }
+
+        @Override
+        public boolean more(ByteBuf part) {
+            channel.writeAndFlush(new DefaultHttpContent(part.retain()))
+                    .addListener(f -> progressAt = server.now());
+            return channel.isWritable();
+        }
+
+        @Override
+        public void end() {
+            if (client == exchange) {
+                client = null;
+                // Only where the client was told: it may have sent a request by now.
+                deaf = last;
+                writing = true;
+                answeredAt = server.now();
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                        .addListener(f -> exchange.written(f.isSuccess()));
+            }
+        }
+
+        @Override
+        public void cut() {
+            if (client == exchange) {
+                client = null;
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (client != null && client.passing != null && channel.isWritable()) {
+            client.passing.resume.run();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
     /** Shows whether it holds a part of a further message. */
     private static final class Decoder extends HttpRequestDecoder {
         private final BooleanSupplier upgrades;
@@ -433,6 +540,7 @@
         private boolean switching;
 
         Decoder(BooleanSupplier upgrades) {
+            super(new HttpDecoderConfig().setMaxChunkSize(Link.CHUNK));
             this.upgrades = upgrades;
         }
 
@@ -487,19 +595,4 @@
             }
         }
     }
-
-    /** Collects whole requests, and ends the connection after one that is too large. */
-    private static final class Whole extends HttpObjectAggregator {
-        private final ClientConnection connection;
-
-        Whole(ClientConnection connection) {
-            super(Link.MAX_BODY, true);
-            this.connection = connection;
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            connection.reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-        }
-    }
 }
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -83,6 +83,7 @@
     /** How many connections are accepted in one turn of the loop. */
     private final ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
     private final List<Door> doors = new ArrayList<>();
+    private final Uploads uploads;
     /** Listens already, at the address of the first door; null where none was inherited or it is taken. */
     private ServerSocketChannel inherited;
     /** Whose connections come by way of another door, which lends them; null for none. */
@@ -117,6 +118,7 @@
     /** With another clock, in nanoseconds from any origin. */
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log, LongSupplier nanos) {
         this.loop = loop;
+        uploads = new Uploads(loop);
         this.nanos = nanos;
         this.service = service;
         this.most = most;
@@ -336,6 +338,10 @@
                 .mapToLong(ClientConnection::waitingBytes).sum();
     }
 
+    Uploads uploads() {
+        return uploads;
+    }
+
     Service service() {
         return service;
     }
--- a/src/main/java/larkbank/sidecar/InHand.java
+++ b/src/main/java/larkbank/sidecar/InHand.java
@@ -54,8 +54,9 @@
         }
     }
 
-    /** Its attempts have ended too. */
+    /** Its attempts have ended too; nothing of it is kept. */
     void remove(Call call) {
         calls.remove(call.request.id(), call);
+        call.body.release();
     }
 }
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,17 +15,29 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 
 /**
@@ -36,8 +49,12 @@
  */
 final class Link {
 
-    /** Largest body that is passed on. */
+    /** Largest body that is collected before it goes on. */
     static final int MAX_BODY = 64 * 1024;
+    /** Longest body that is passed on, where its length is told. */
+    private static final long MOST_PASSED = 64L * 1024 * 1024;
+    /** Most that is read, decoded or written in one go. */
+    static final int CHUNK = 16 * 1024;
 
     /** What a link tells its owner, always on the event loop. */
     interface Owner {
@@ -52,6 +69,17 @@
          */
         void answered(FullHttpResponse answer, boolean clean);
 
+        /**
+         * An answer is too large to be collected. It goes on to what this gives, null for nowhere, and the
+         * link ends; the task is to be run once more may come after there was too much.
+         */
+        default Passing passes(HttpResponse head, Runnable resume) {
+            return null;
+        }
+
+        /** The answer that was passed on has come whole; see {@link #answered}. */
+        default void passed(boolean clean, boolean keepAlive) { }
+
         /** Never came up, broke, or was closed by either side. */
         void closed();
     }
@@ -65,12 +93,22 @@
     private boolean upgrading;
     private final Early early = new Early();
     private boolean down;
+    /** It was broken by the other side, or given up by this one: what came is not known to be whole. */
+    private boolean broken;
+    private Feed feed;
+    /** An answer that was passed on has come whole in this read. */
+    private boolean passedWhole;
+    private boolean passedKeepAlive;
     private String failure = "connection lost";
 
     /** Shows whether it holds a part of a further message, and takes no line of a head without a colon. */
     private static final class Decoder extends HttpResponseDecoder {
         private boolean begun;
 
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxChunkSize(CHUNK));
+        }
+
         @Override
         protected HttpMessage createMessage(String[] initialLine) {
             begun = true;
@@ -101,11 +139,12 @@
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectMicros / 1000))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(256, 2_048, CHUNK))
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Gate(), decoder, new HttpRequestEncoder(),
-                                new HttpObjectAggregator(maxBody), new Answers());
+                                new Collector(maxBody), new Answers());
                     }
                 }).connect(to);
         channel = connecting.channel();
@@ -118,7 +157,8 @@
                 owner.opened();
             }
         });
-        channel.closeFuture().addListener(f -> later(loop, this::down));
+        // What an orderly end says of an answer without other bounds comes by a task of the channel's own.
+        channel.closeFuture().addListener(f -> later(loop, () -> later(loop, this::down)));
     }
 
     private static void later(EventLoop loop, Runnable task) {
@@ -153,16 +193,58 @@
     void send(FullHttpRequest request, boolean upgrade) {
         upgrading = upgrade;
         asked = true;
-        channel.writeAndFlush(request).addListener(f -> {
-            if (f.isSuccess()) {
-                owner.written();
-            } else {
-                channel.close();
+        if (request.content().readableBytes() > MAX_BODY) {
+            feed = new Feed(request);
+            feed.goOn();
+            return;
+        }
+        channel.writeAndFlush(request).addListener(this::sent);
+    }
+
+    private void sent(Future<? super Void> last) {
+        if (last.isSuccess()) {
+            owner.written();
+        } else {
+            channel.close();
+        }
+    }
+
+    /**
+     * A large request, as fast as the server takes it: what waits to be written is memory of this
+     * process.
+     */
+    private final class Feed {
+        private ByteBuf rest;
+
+        Feed(FullHttpRequest request) {
+            rest = request.content();
+            channel.write(new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(),
+                    request.headers()));
+        }
+
+        void goOn() {
+            while (rest != null && channel.isActive() && channel.isWritable()) {
+                ByteBuf part = rest.readRetainedSlice(Math.min(CHUNK, rest.readableBytes()));
+                if (rest.isReadable()) {
+                    channel.write(new DefaultHttpContent(part));
+                } else {
+                    end();
+                    channel.write(new DefaultLastHttpContent(part)).addListener(Link.this::sent);
+                }
             }
-        });
+            channel.flush();
+        }
+
+        void end() {
+            if (rest != null) {
+                rest.release();
+                rest = null;
+            }
+        }
     }
 
     void close() {
+        broken = true;
         channel.close();
     }
 
@@ -195,6 +277,9 @@
     private void down() {
         if (!down) {
             down = true;
+            if (feed != null) {
+                feed.end();
+            }
             owner.closed();
         }
     }
@@ -234,6 +319,109 @@
         }
     }
 
+    /** Collects answers up to a bound; what is larger goes on as it comes, if its owner wants that. */
+    private final class Collector extends ChannelInboundHandlerAdapter {
+        private final int most;
+        private HttpResponse head;
+        private ByteBuf body;
+        private Passing passing;
+
+        Collector(int most) {
+            this.most = most;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!(message instanceof HttpObject)) {
+                context.fireChannelRead(message);
+                return;
+            }
+            try {
+                if (message instanceof HttpResponse response) {
+                    head = response;
+                    body = Unpooled.buffer(256);
+                    if (response.decoderResult().isFailure()) {
+                        hand(context, response.decoderResult());
+                    } else if (HttpUtil.getContentLength(response, -1L) > most) {
+                        passOn(context);
+                    }
+                }
+                if (head != null && message instanceof HttpContent content) {
+                    take(context, content);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void take(ChannelHandlerContext context, HttpContent content) {
+            if (passing == null && body.readableBytes() + content.content().readableBytes() > most) {
+                passOn(context);
+            }
+            if (passing != null) {
+                passOn(context, content);
+            } else if (head != null) {
+                body.writeBytes(content.content());
+                if (content instanceof LastHttpContent || content.decoderResult().isFailure()) {
+                    hand(context, content.decoderResult().isFailure() ? content.decoderResult()
+                            : head.decoderResult());
+                }
+            }
+        }
+
+        private void hand(ChannelHandlerContext context, DecoderResult result) {
+            FullHttpResponse whole = new DefaultFullHttpResponse(head.protocolVersion(), head.status(), body,
+                    head.headers(), EmptyHttpHeaders.INSTANCE);
+            boolean unbounded = unbounded(head);
+            whole.setDecoderResult(unbounded && broken ? DecoderResult.UNFINISHED : result);
+            HttpUtil.setTransferEncodingChunked(whole, false);
+            head = null;
+            body = null;
+            context.fireChannelRead(whole);
+        }
+
+        private void passOn(ChannelHandlerContext context) {
+            passing = HttpUtil.getContentLength(head, 0L) > MOST_PASSED || !asked ? null
+                    : owner.passes(head, () -> context.channel().config().setAutoRead(true));
+            if (passing == null) {
+                failure = "an answer that is too large: more than " + most + " bytes";
+                head = null;
+                broken = true;
+                context.close();
+            } else {
+                pass(context, body);
+            }
+        }
+
+        private void pass(ChannelHandlerContext context, ByteBuf part) {
+            if (part.isReadable() && !passing.more(part)) {
+                context.channel().config().setAutoRead(false);
+            }
+        }
+
+        private void passOn(ChannelHandlerContext context, HttpContent content) {
+            if (content.decoderResult().isFailure()) {
+                broken = true;
+                context.close();
+                return;
+            }
+            pass(context, content.content());
+            if (content instanceof LastHttpContent && !(broken && unbounded(head))) {
+                decoder.ended();
+                passing = null;
+                passedKeepAlive = HttpUtil.isKeepAlive(head);
+                passedWhole = true;
+                head = null;
+                context.channel().config().setAutoRead(true);
+            }
+        }
+    }
+
+    /** Only the end of the connection says where such a body ends. */
+    private static boolean unbounded(HttpResponse head) {
+        return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+    }
+
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         /** Whole, and told once all is read that came with it. */
         private FullHttpResponse whole;
@@ -261,18 +449,35 @@
                     && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 // One or more of them may go ahead of the answer.
                 return;
-            } else if (answer.decoderResult().isFailure() || !channel.isActive()
+            } else if (!answer.decoderResult().isSuccess()
+                    || !channel.isActive() && HttpUtil.isKeepAlive(answer)
                     || answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                // A body that only the end of the connection bounds may be cut short by a dying server: on a
-                // closed channel an answer is not known to be whole. After a change of protocol none comes.
+                // A body that only the end of the connection bounds may be cut short by a dying server:
+                // unless the end was announced and is an orderly one, an answer on a closed channel is not
+                // known to be whole. After a change of protocol none comes.
                 context.close();
             } else {
                 whole = answer.retain();
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (feed != null) {
+                // A task of its own: this may come from inside a write, and the encoder can't be entered
+                // twice.
+                context.channel().eventLoop().execute(feed::goOn);
+            }
+            context.fireChannelWritabilityChanged();
+        }
+
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
+            if (passedWhole) {
+                passedWhole = false;
+                asked = false;
+                owner.passed(!more && decoder.isEmpty() && channel.isActive(), passedKeepAlive);
+            }
             if (whole != null) {
                 FullHttpResponse answer = whole;
                 whole = null;
@@ -289,6 +494,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             more = true;
+            broken = true;
             if (cause instanceof TooLongFrameException) {
                 failure = "an answer that is too large: " + cause.getMessage();
             }
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -145,7 +145,7 @@
         Call call = new Call(new Request(id, r.requestClass(), r.tenant(), false, r.key(),
                 clock.micros() + timeout, 0, r.write(), r.terms()),
                 new Way(this, r.requestClass(), first.uri, null, timeout, r.terms(), upgrade),
-                first.className, first.method, headers, new byte[0], client);
+                first.className, first.method, headers, Unpooled.EMPTY_BUFFER, client);
         if (inHand.add(call)) {
             upgrade.taken(call);
             take(call);
@@ -272,9 +272,11 @@
         attempt.result = result;
         attempt.timeout.cancel(false);
         call.out--;
-        if (result == Result.SERVED && call.upgrade != null) {
+        if (call.passed == attempt) {
+            endPassing(call, result == Result.SERVED);
+        } else if (result == Result.SERVED && call.upgrade != null) {
             goOver(call, attempt, answer);
-        } else if (result == Result.SERVED && !call.over) {
+        } else if (result == Result.SERVED && !call.over && call.passed == null && answer != null) {
             HttpHeaders headers = Headers.endToEnd(answer.headers());
             headers.remove(Headers.LOAD);
             Call.Client client = call.client;
@@ -283,10 +285,52 @@
             client.answer(HttpResponseStatus.OK, headers, answer.content().retain());
         }
         tell(call, now -> module.outcome(now, new Outcome(call.request.id(), attempt.number, attempt.server,
-                result, now - attempt.sentAt, call.over, report)));
+                result, (attempt.begunAt == 0 ? now : attempt.begunAt) - attempt.sentAt, call.over, report)));
         forget(call);
     }
 
+    /**
+     * An answer that is too large to be kept has begun: from here on it is the request's one answer, nothing
+     * is tried beside it, and it takes the time that server and client take.
+     */
+    @Override
+    public Passing passes(Attempt attempt, HttpHeaders headers, long length, Runnable resume) {
+        Call call = attempt.call;
+        if (call.over || call.passed != null || call.upgrade != null) {
+            return null;
+        }
+        HttpHeaders others = Headers.endToEnd(headers);
+        others.remove(Headers.LOAD);
+        others.remove(HttpHeaderNames.CONTENT_LENGTH);
+        call.passing = call.client.pass(others, length, resume);
+        if (call.passing == null) {
+            return null;
+        }
+        call.passed = attempt;
+        call.served = true;
+        call.expiry.cancel(false);
+        attempt.timeout.cancel(false);
+        attempt.begunAt = clock.micros();
+        tell(call, now -> module.streamBegan(now, call.request.id(), attempt.number, attempt.server,
+                attempt.begunAt - attempt.sentAt));
+        List.copyOf(call.attempts).stream().filter(a -> a != attempt)
+                .forEach(a -> stopWaiting(a, Result.CANCELLED));
+        return call.passing;
+    }
+
+    private void endPassing(Call call, boolean whole) {
+        if (call.over) {
+            return;
+        }
+        Passing passing = call.passing;
+        over(call, whole ? Ending.SERVED : Ending.FAILED);
+        if (whole) {
+            passing.end();
+        } else {
+            passing.cut();
+        }
+    }
+
     /** A server has said 101: its client hears so now, and the two connections are joined. */
     private void goOver(Call call, Attempt attempt, FullHttpResponse answer) {
         if (call.over) {
@@ -409,6 +453,12 @@
         if (call == null || call.over) {
             return;
         }
+        if (call.passed != null) {
+            // It has an answer already, which goes no further.
+            over(call, Ending.FAILED);
+            call.passing.cut();
+            return;
+        }
         over(call, ending(status));
         if (call.upgrade == null) {
             call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -1,6 +1,5 @@
 package larkbank.sidecar;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -99,7 +98,7 @@
         checkFraming(http);
     }
 
-    /** Reads a request whose way is known. */
+    /** Reads a request whose way is known; its body is held from then on. */
     Call read(long now, FullHttpRequest http, Way way, Call.Client client) throws BadRequest {
         HttpHeaders headers = http.headers();
         String path = path(way.uri());
@@ -124,7 +123,7 @@
             headers.set(HttpHeaderNames.HOST, way.host());
         }
         return new Call(request, way, settings.classes().get(requestClass).name(), http.method(), headers,
-                ByteBufUtil.getBytes(http.content()), client);
+                http.content().retain(), client);
     }
 
     /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -43,6 +44,11 @@
     interface Listener {
         void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
 
+        /** A 200 is too large to be kept; where it goes on to, null for nowhere. */
+        default Passing passes(Attempt attempt, HttpHeaders headers, long length, Runnable resume) {
+            return null;
+        }
+
         /** The last byte of an attempt has been handed to the network. */
         default void written() { }
 
@@ -382,6 +388,8 @@
         private final Link link;
         private Attempt attempt;
         private long idleSince;
+        /** What came with the answer that is passed on. */
+        private LoadReport passedReport;
 
         Connection(Node node) {
             this.node = node;
@@ -422,11 +430,11 @@
                         Unpooled.EMPTY_BUFFER, headers, new DefaultHttpHeaders());
             }
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-            if (call.body.length > 0 || !call.method.equals(HttpMethod.GET)) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
+            if (call.body.isReadable() || !call.method.equals(HttpMethod.GET)) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.readableBytes());
             }
             return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri,
-                    Unpooled.wrappedBuffer(call.body), headers, new DefaultHttpHeaders());
+                    call.body.retainedDuplicate(), headers, new DefaultHttpHeaders());
         }
 
         /** Becomes idle, or closes where it will not be used again. */
@@ -492,6 +500,45 @@
             end(done, result, report, answer);
         }
 
+        /** Only what its client gets is read on; the outcome of any other large answer is its status. */
+        @Override
+        public Passing passes(HttpResponse head, Runnable resume) {
+            if (attempt == null || !attempt.written) {
+                return null;
+            }
+            LoadReport report = LoadReports.parse(head.headers().getAll(Headers.LOAD));
+            if (report != null) {
+                node.told(report);
+            }
+            Result result = result(head);
+            Passing to = result == Result.SERVED ? listener.passes(attempt, head.headers(),
+                    HttpUtil.getContentLength(head, -1L), resume) : null;
+            if (to == null) {
+                Attempt done = attempt;
+                attempt = null;
+                end(done, done.call.upgrade == null ? result : Result.ERROR, report, null);
+            } else {
+                passedReport = report;
+            }
+            return to;
+        }
+
+        @Override
+        public void passed(boolean clean, boolean keepAlive) {
+            Attempt done = attempt;
+            if (done == null) {
+                link.close();
+                return;
+            }
+            if (clean && keepAlive) {
+                rest();
+            } else {
+                attempt = null;
+                link.close();
+            }
+            end(done, Result.SERVED, passedReport, null);
+        }
+
         /** Only a 101 that answers what was asked serves; what else a server says is kept for the client. */
         private static Result upgraded(Call call, FullHttpResponse answer) {
             boolean switching = answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
@@ -533,7 +580,7 @@
             link.close();
         }
 
-        private static Result result(FullHttpResponse answer) {
+        private static Result result(HttpResponse answer) {
             int status = answer.status().code();
             if (status == HttpResponseStatus.OK.code()) {
                 return Result.SERVED;
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -327,6 +327,11 @@
         return clients.waitingBytes() + layout.waitingBytes();
     }
 
+    /** Bytes of large requests that are kept or have room. */
+    long keptBytes() {
+        return clients.uploads().used();
+    }
+
     /** Answers all in hand, then ends. */
     void stop(Runnable ended) {
         if (!standing.on(Standing.Event.TERMINATE)) {
@@ -446,9 +451,11 @@
         }
         Call call = reader.read(now, http, way, client);
         if (call.upgrade == null && !client.isAlone()) {
+            call.body.release();
             throw new RequestReader.BadRequest("more than one request");
         }
         if (!inHand.add(call)) {
+            call.body.release();
             throw new RequestReader.BadRequest("this " + Headers.REQUEST_ID + " is in hand");
         }
         if (call.upgrade != null) {
