--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -81,7 +81,8 @@
     Config beside() {
         int part = Math.max(LEAST_DESCRIPTORS, sockets / 4 * 3);
         return new Config(name, listen, discovery, operator, part, settings.with(settings.limits()
-                .with(open(settings.limits(), part), settings.limits().held(), serverConnections(part)),
+                .with(Math.min(settings.limits().open(), serverConnections(part)), settings.limits().held(),
+                        serverConnections(part)),
                 settings.discoveryOnAsk()), connectMicros, drainGraceMicros, known, lists, shape);
     }
 
@@ -116,12 +117,13 @@
         }
         InetSocketAddress operator = operator(c, environment.get("LB_OPERATOR"));
         // The operators' door takes its part before clients and servers share the rest.
+        int told = sockets;
         sockets -= operator == null ? 0 : OperatorsDoor.CALLERS + 1;
         sockets -= InheritedSocket.promised(environment.get("LB_SOCKET_FD")) ? REHEARSAL_DESCRIPTORS : 0;
         return new Config(text(c, "name", environment.get("LB_NAME")),
                 Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
                 Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), operator, sockets,
-                within(checked(SettingsReader.read(seed(c), facts)), sockets),
+                within(checked(SettingsReader.read(seed(c), facts)), told, sockets),
                 Json.whole(limits, "connect_timeout_us", 250_000),
                 Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists,
                 new ConfigShape(c));
@@ -150,16 +152,18 @@
      * No more than a few: an eighth kept free was an eighth of what the busiest sidecar of a fleet could
      * serve, while every server had room.
      */
-    private static Settings within(Settings s, int sockets) {
+    private static Settings within(Settings s, int told, int sockets) {
         Limits l = s.limits();
         Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
-                open(l, sockets), l.held(), l.secondCopies(), serverConnections(sockets));
+                open(l, told, sockets), l.held(), l.secondCopies(), serverConnections(sockets));
         return s.with(kept, s.discoveryOnAsk());
     }
 
-    private static int open(Limits l, int sockets) {
-        return Math.min(l.open(), sockets / 3 - Math.max(1, sockets / 3 / FREE_PART));
+    /** Clients go by what the platform says; what this process keeps for other ends takes none of theirs. */
+    private static int open(Limits l, int told, int sockets) {
+        int asked = told / 3 - Math.max(1, told / 3 / FREE_PART);
+        return Math.min(l.open(), Math.min(asked, serverConnections(sockets)));
     }
 
     /** Null where operators have no door. */
--- a/src/test/java/larkbank/sidecar/UpgradeTest.java
+++ b/src/test/java/larkbank/sidecar/UpgradeTest.java
@@ -146,6 +146,20 @@
                 Files.readString(folder.resolve("log")));
     }
 
+    /** What is kept for the door and for a process beside this one is no room that clients ask on. */
+    @Test
+    void clientsMayAskAsMuchWithADoorAndASuccessorToCome() throws Exception {
+        Config plain = harness.config();
+        Config service = Config.read(Map.of("LB_CONFIG", harness.file.toString(),
+                "LB_OPERATOR", "127.0.0.1:9", "LB_SOCKET_FD", "0"));
+        assertEquals(plain.settings().limits().open(), service.settings().limits().open());
+        assertTrue(service.clientConnections() + service.serverConnections()
+                < plain.clientConnections() + plain.serverConnections());
+        Config beside = service.beside();
+        assertEquals(beside.serverConnections(), beside.settings().limits().connections());
+        assertTrue(beside.settings().limits().open() <= beside.serverConnections());
+    }
+
     @Test
     void oneThatIsEndedBeforeItsYesTakesNothingAlong() throws Exception {
         InetSocketAddress first = free();
