A request that came whole while it waited for room counts and is not turned away

Cause, read in the change: RequestCollector hands a request on whose last bytes came in the read after which it had to wait. Its wish stayed with BodyBudget, which could then turn it away as the last that waits: its room went to others while its bytes were still held. Whatever a step had granted beyond its size stayed with it, too.

Change: Uploads tells the budget that a request has come whole; it counts with what it has and wishes for nothing. A test that fails without. Beside it, without a change of what is done: BodyBudget takes room back in one place; RequestCollector has one rejection of what is too large, hands results on as they are and asks of an expectation once; Figures without two calls that nobody used; one way to call the operators' door in tests and measurements (Harness.call) in place of three.

--- a/src/bench/java/larkbank/sidecar/Served.java
+++ b/src/bench/java/larkbank/sidecar/Served.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -70,10 +68,7 @@
 
     /** One call at the operators' door. */
     String call(String line) throws IOException {
-        try (Socket socket = new Socket("127.0.0.2", address.getPort())) {
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-        }
+        return Harness.call(new InetSocketAddress("127.0.0.2", address.getPort()), line);
     }
 
     void hangUp() throws IOException, InterruptedException {
--- a/src/main/java/larkbank/bulk/BodyBudget.java
+++ b/src/main/java/larkbank/bulk/BodyBudget.java
@@ -91,10 +91,19 @@
 
     /** A share is over, whatever it had or waited for. */
     public News free(Share share) {
-        used -= share.has;
-        share.has = 0;
-        holders.remove(share);
+        takeBack(share);
+        return settle();
+    }
+
+    /**
+     * A share has come whole: it has this much, which may be a last read more than it was granted, and wishes
+     * for nothing more.
+     */
+    public News whole(Share share, long bytes) {
         waiting.remove(share);
+        holders.add(share);
+        used += bytes - share.has;
+        share.has = bytes;
         return settle();
     }
 
@@ -110,10 +119,7 @@
                 granted.add(next);
             } else if (next != null && stuck()) {
                 Share last = last();
-                used -= last.has;
-                last.has = 0;
-                holders.remove(last);
-                waiting.remove(last);
+                takeBack(last);
                 refused.add(last);
             } else {
                 return new News(granted, refused);
@@ -121,6 +127,13 @@
         }
     }
 
+    private void takeBack(Share share) {
+        used -= share.has;
+        share.has = 0;
+        holders.remove(share);
+        waiting.remove(share);
+    }
+
     private boolean fits(Share share) {
         return used + share.wants <= total;
     }
--- a/src/main/java/larkbank/daily/Figures.java
+++ b/src/main/java/larkbank/daily/Figures.java
@@ -52,11 +52,6 @@
     /** A request that was taken has its final answer. */
     public void ended(String requestClass, Ending ending) {
         inHand--;
-        answered(requestClass, ending);
-    }
-
-    /** A request was answered that never was in hand. */
-    public void answered(String requestClass, Ending ending) {
         classes.computeIfAbsent(requestClass, n -> new Counts()).by[ending.ordinal()]++;
     }
 
@@ -79,10 +74,6 @@
         }
     }
 
-    public long inHand() {
-        return inHand;
-    }
-
     /** One line of JSON. */
     public String json(Fleet fleet) {
         StringWriter text = new StringWriter(512);
--- a/src/main/java/larkbank/sidecar/RequestCollector.java
+++ b/src/main/java/larkbank/sidecar/RequestCollector.java
@@ -93,20 +93,15 @@
         drop();
         head = request;
         if (request.decoderResult().isFailure()) {
-            hand(request.decoderResult().cause());
+            hand(request.decoderResult());
             return;
         }
-        boolean continues = HttpUtil.is100ContinueExpected(request);
-        if (request.headers().contains(HttpHeaderNames.EXPECT)) {
-            if (!continues && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(
-                    request.headers().get(HttpHeaderNames.EXPECT))) {
-                reject(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
-                return;
-            }
-        }
-        if (HttpUtil.getContentLength(request, -1L) > Uploads.MOST) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-        } else if (continues) {
+        String expected = request.headers().get(HttpHeaderNames.EXPECT);
+        if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+            reject(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
+        } else if (HttpUtil.getContentLength(request, -1L) > Uploads.MOST) {
+            rejectTooLarge();
+        } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -116,7 +111,7 @@
         share = share == null ? uploads.share(this::granted, this::refused) : share;
         Word word = uploads.ask(share, bytes);
         if (word == Word.REFUSED) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            rejectTooLarge();
         } else if (word == Word.WAITS) {
             waits = true;
             context.channel().config().setAutoRead(false);
@@ -139,12 +134,12 @@
 
     private void take(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            hand(content.decoderResult().cause());
+            hand(content.decoderResult());
             return;
         }
         append(content.content());
         if (head != null && content instanceof LastHttpContent) {
-            hand(null);
+            hand(head.decoderResult());
         }
     }
 
@@ -160,29 +155,31 @@
             last.writeBytes(bytes, Math.min(bytes.readableBytes(), last.maxWritableBytes()));
         }
         if (size > Uploads.MOST) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            rejectTooLarge();
         } else if (size > Link.MAX_BODY && !waits && (share == null || size > share.has())) {
             ask(Math.max(STEP, size - (share == null ? 0 : share.has())));
         }
     }
 
-    /** Hands the request on; it is none where there is a cause. */
-    private void hand(Throwable cause) {
-        boolean large = share != null;
-        ByteBuf content = large ? uploads.whole(pieces, share) : pieces.size() == 1 ? pieces.get(0)
+    /** Hands the request on; it is none where the result is a failure. */
+    private void hand(DecoderResult result) {
+        ByteBuf content = share != null ? uploads.whole(pieces, share) : pieces.size() == 1 ? pieces.get(0)
                 : Unpooled.wrappedBuffer(pieces.toArray(ByteBuf[]::new));
         FullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
                 content, new DefaultHttpHeaders().set(head.headers()), EmptyHttpHeaders.INSTANCE);
         HttpUtil.setTransferEncodingChunked(whole, false);
         whole.headers().remove(HttpHeaderNames.EXPECT);
-        whole.setDecoderResult(cause == null ? head.decoderResult()
-                : DecoderResult.failure(cause));
+        whole.setDecoderResult(result);
         pieces.clear();
         share = null;
         drop();
         context.fireChannelRead(whole);
     }
 
+    private void rejectTooLarge() {
+        reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    }
+
     private void reject(HttpResponseStatus status, String why) {
         drop();
         judge.rejected(status, why);
--- a/src/main/java/larkbank/sidecar/Uploads.java
+++ b/src/main/java/larkbank/sidecar/Uploads.java
@@ -54,7 +54,9 @@
 
     /** One body out of its pieces, whose room is free once nobody holds it any more. */
     ByteBuf whole(List<ByteBuf> pieces, Share share) {
-        return new Whole(pieces, share);
+        Whole whole = new Whole(pieces, share);
+        tell(budget.whole(share, whole.readableBytes()));
+        return whole;
     }
 
     private final class Whole extends CompositeByteBuf {
--- a/src/test/java/larkbank/bulk/BodyBudgetTest.java
+++ b/src/test/java/larkbank/bulk/BodyBudgetTest.java
@@ -58,6 +58,22 @@
         assertEquals(60, budget.used());
     }
 
+    /** It was turned away as the last one that waits, its room given to others and its bytes still held. */
+    @Test
+    void whatHasComeWholeWhileItWaitedCountsAndIsNotTurnedAway() {
+        Share a = share();
+        Share b = share();
+        assertEquals(Word.GRANTED, budget.ask(a, 50));
+        assertEquals(Word.GRANTED, budget.ask(b, 50));
+        assertEquals(Word.WAITS, budget.ask(b, 10));
+        assertEquals(new News(List.of(), List.of()), budget.whole(b, 52));
+        assertEquals(102, budget.used());
+        assertEquals(Word.WAITS, budget.ask(a, 10));
+        assertEquals(new News(List.of(), List.of()), budget.settle());
+        assertEquals(List.of(a), budget.free(b).granted());
+        assertEquals(60, budget.used());
+    }
+
     /** Whatever is wished for: never more than there is, and each wish ends once all others are over. */
     @Test
     void nothingIsGivenTwiceAndNobodyWaitsForEver() {
--- a/src/test/java/larkbank/sidecar/DailyTest.java
+++ b/src/test/java/larkbank/sidecar/DailyTest.java
@@ -49,11 +49,7 @@
     }
 
     private String ask(String line) throws IOException {
-        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
+        return Harness.call(door, line);
     }
 
     /** Waits for figures that hold this; they may lag. */
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -139,6 +139,15 @@
         sidecar.reload(Map.of("LB_CONFIG", file.toString())).get(10, TimeUnit.SECONDS);
     }
 
+    /** One call at an operators' door, and all that it says. */
+    static String call(InetSocketAddress door, String line) throws IOException {
+        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
     Client client() throws IOException {
         Client client = new Client(address);
         clients.add(client);
--- a/src/test/java/larkbank/sidecar/UpgradeTest.java
+++ b/src/test/java/larkbank/sidecar/UpgradeTest.java
@@ -7,8 +7,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -62,18 +60,10 @@
                 "TMPDIR", folder.toString()), folder.resolve("log"));
     }
 
-    private static String ask(InetSocketAddress door, String line) throws IOException {
-        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
-    }
-
     private void awaitReady(InetSocketAddress door) throws Exception {
         while (true) {
             try {
-                if (ask(door, "READY").equals("YES\n")) {
+                if (Harness.call(door, "READY").equals("YES\n")) {
                     return;
                 }
             } catch (IOException e) {
@@ -121,11 +111,12 @@
                 }
                 return served;
             });
-            assertTrue(ask(first, "READY").startsWith("YES"));
+            assertTrue(Harness.call(first, "READY").startsWith("YES"));
             awaitReady(second);
-            assertTrue(ask(second, "STATS").contains("\"failure\":{\"search\":0,\"hold\":0,\"book\":0}"));
+            assertTrue(Harness.call(second, "STATS")
+                    .contains("\"failure\":{\"search\":0,\"hold\":0,\"book\":0}"));
             signal("TERM", old);
-            while (!ask(first, "READY").equals("NO stopping\n")) {
+            while (!Harness.call(first, "READY").equals("NO stopping\n")) {
                 Thread.onSpinWait();
             }
             waits.reply("200 OK", "", "as promised");
