--- a/src/main/java/larkbank/daily/ClassPlaces.java
+++ b/src/main/java/larkbank/daily/ClassPlaces.java
@@ -8,7 +8,8 @@
 
 /**
  * The numbers of classes when others come to hold. What is learned and what is in hand goes by number, so a
- * class that stays keeps its own, and that of a dropped one is free once no request is left under it.
+ * class that stays keeps its own, and that of a dropped one is free once no request is left under it. That is
+ * never so in the change that drops it: until the change is taken over, requests still come under it.
  */
 public final class ClassPlaces {
 
@@ -34,7 +35,8 @@
         for (RequestClass c : fresh) {
             int free = 0;
             while (free < placed.size()
-                    && (placed.get(free) != RequestClass.GONE || inUse.contains(free))) {
+                    && !(isFree(before, free) && placed.get(free) == RequestClass.GONE
+                    && !inUse.contains(free))) {
                 free++;
             }
             if (free < placed.size()) {
@@ -46,6 +48,10 @@
         return placed;
     }
 
+    private static boolean isFree(List<RequestClass> before, int number) {
+        return number < before.size() && before.get(number) == RequestClass.GONE;
+    }
+
     /** The first name that stands twice; null where none does. */
     public static String twice(List<RequestClass> classes) {
         Set<String> names = new HashSet<>();
--- a/src/main/java/larkbank/sidecar/Hangup.java
+++ b/src/main/java/larkbank/sidecar/Hangup.java
@@ -1,6 +1,9 @@
 package larkbank.sidecar;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * SIGHUP, which would end the runtime. The platform has no supported interface for signals; the unsupported
@@ -10,6 +13,23 @@
 
     private Hangup() { }
 
+    /**
+     * Whether the signal is thrown away before the program sees it: whoever started it had it ignored, as
+     * {@code nohup} does, and the runtime keeps to that. Where the system does not say, it is not.
+     */
+    static boolean isIgnored() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+                if (line.startsWith("SigIgn:")) {
+                    return (Long.parseUnsignedLong(line.substring(7).trim(), 16) & 1) != 0;
+                }
+            }
+        } catch (IOException | NumberFormatException e) {
+            return false;
+        }
+        return false;
+    }
+
     /** From now on each SIGHUP runs the task, on a thread of its own. */
     static void handle(Runnable task) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiFunction;
 import java.util.stream.IntStream;
 import larkbank.Choice;
@@ -45,6 +47,8 @@
     /** Requests of the rehearsal, and its longest time. */
     private static final int REHEARSED = 250;
     private static final long REHEARSAL_MILLIS = 1_500;
+    /** A change that is not done by then no longer holds up those behind it. */
+    private static final long RELOAD_SECONDS = 30;
 
     private final EventLoop loop;
     private final PrintStream log;
@@ -149,7 +153,11 @@
             // One after the other, so that the last file read is the last one taken over.
             ExecutorService reading = Executors.newSingleThreadExecutor(
                     new DefaultThreadFactory("reading", true));
-            Hangup.handle(() -> reading.execute(() -> sidecar.reload(environment).join()));
+            Hangup.handle(() -> reading.execute(() -> sidecar.readAgain(environment)));
+            if (Hangup.isIgnored()) {
+                log.println("larkbank: SIGHUP is ignored by what started this process, and so by it: files are"
+                        + " not read again; 'env --default-signal=HUP COMMAND' undoes that");
+            }
             Thread end = new Thread(() -> {
                 loop.execute(() -> sidecar.stop(ended::countDown));
                 awaitQuietly(ended);
@@ -182,6 +190,17 @@
                 : "larkbank: " + String.valueOf(e.getMessage()).replaceAll("\\s+", " ");
     }
 
+    /** Whatever goes wrong with one change is told, and the next one is read all the same. */
+    private void readAgain(Map<String, String> environment) {
+        try {
+            reload(environment).get(RELOAD_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException | RuntimeException e) {
+            turnDown("larkbank: the files were not taken over: " + e);
+        }
+    }
+
     /**
      * Reads the files again, off the loop, and takes over the operators' file, if there is one, the classes
      * and attempts of the settings, and the address of discovery, which goes before what the environment said
@@ -195,11 +214,12 @@
             Config next = read.with(CompletableFuture.supplyAsync(() -> ClassPlaces.place(
                     config.settings().classes(), read.settings().classes(), inHand.classes()), loop).join());
             Layout.Change change = layout.reread(next);
-            // All in one turn of the loop: no request finds one part of it as it was and another anew.
+            // All in one turn of the loop: no request finds one part of it as it was and another anew. It is
+            // a later turn than the one that numbered the classes, which holds for what has come since.
             return CompletableFuture.supplyAsync(() -> change.take().thenRun(() -> adopt(next)), loop)
                     .thenCompose(taken -> taken)
                     .exceptionally(e -> {
-                        turnDown("larkbank: " + e.getCause().getMessage());
+                        turnDown("larkbank: " + (e.getCause() == null ? e : e.getCause().getMessage()));
                         return null;
                     });
         } catch (IOException | RuntimeException e) {
--- a/src/test/java/larkbank/daily/ClassPlacesTest.java
+++ b/src/test/java/larkbank/daily/ClassPlacesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,14 @@
                 Set.of(0, 3))));
     }
 
+    /** A request that came under a class is of that class or of none, whenever the change is taken over. */
+    @Test
+    void whatIsDroppedNowIsNotGivenAwayNow() {
+        List<RequestClass> placed = ClassPlaces.place(of("a", "b"), of("a", "c"), Set.of());
+        assertEquals(List.of("a", "", "c"), names(placed));
+        assertEquals(List.of("a", "d", "c"), names(ClassPlaces.place(placed, of("a", "c", "d"), Set.of())));
+    }
+
     @Test
     void aClassOfTheSameNameHasItsNewRules() {
         List<RequestClass> next = List.of(of("a", Effect.UNSAFE));
@@ -62,6 +71,14 @@
                 String after = names(next).get(i);
                 assertEquals(after.isEmpty() ? after : names(now).get(i), after, "seed " + seed);
             }
+            // Requests go on coming under all that holds until the change is taken over, so none of those
+            // numbers may belong to another class by then.
+            for (int i = 0; i < now.size(); i++) {
+                String before = names(now).get(i);
+                String after = names(next).get(i);
+                assertTrue(before.isEmpty() || after.isEmpty() || after.equals(before), "seed " + seed);
+            }
+            assertTrue(next.size() <= 24, next.size() + " numbers, seed " + seed);
             now = next;
         }
     }
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The program as the platform runs it. */
 @Timeout(60)
@@ -59,10 +60,7 @@
 
     @Test
     void terminationAnswersWhatIsInHandAndExitsWithZero() throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
-        }
+        InetSocketAddress address = free();
         try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
             Process process = program(harness.file, "127.0.0.1:" + address.getPort()).start();
             try (Harness.Client client = connect(address, process)) {
@@ -84,10 +82,7 @@
     /** What is off costs nothing: no class of it is loaded, neither at the start nor by a request. */
     @Test
     void whatIsOffIsNotLoaded() throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
-        }
+        InetSocketAddress address = free();
         Path loaded = folder.resolve("loaded.txt");
         try (Stub server = new Stub(Stub.serves("ok")); Harness harness = new Harness(folder, server)) {
             ProcessBuilder program = program(harness.file, "127.0.0.1:" + address.getPort());
@@ -118,10 +113,7 @@
     /** SIGHUP: the file's discovery goes before the environment's, and a wrong file changes nothing. */
     @Test
     void hangupGoesOverToTheNewDiscovery() throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
-        }
+        InetSocketAddress address = free();
         try (Stub server = new Stub(Stub.serves("ok")); Stub next = new Stub(Stub.SILENT);
                 Harness harness = new Harness(folder, server)) {
             ProcessBuilder program = program(harness.file, "127.0.0.1:" + address.getPort());
@@ -154,13 +146,53 @@
         }
     }
 
+    /**
+     * Started with SIGHUP ignored, as {@code nohup} does, the runtime never hears of one: classes that came
+     * with it would be 400 for good. The service command takes the signal back, and without it that is told.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anIgnoredHangupIsTakenBackOrTold(boolean takenBack) throws Exception {
+        InetSocketAddress address = free();
+        Path log = folder.resolve("log");
+        try (Stub server = new Stub(Stub.serves("ok")); Harness harness = new Harness(folder, server)) {
+            ProcessBuilder program = program(harness.file, "127.0.0.1:" + address.getPort());
+            program.redirectOutput(log.toFile());
+            program.command().addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+            if (takenBack) {
+                program.command().addAll(4, List.of("env", "--default-signal=HUP"));
+            }
+            Process process = program.start();
+            try (Harness.Client client = connect(address, process)) {
+                assertEquals(!takenBack, Files.readString(log).contains("SIGHUP is ignored"));
+                Files.writeString(harness.file, Files.readString(harness.file).replace("search", "look"));
+                hangUp(process);
+                if (takenBack) {
+                    Harness.Client asking = client;
+                    while (asking.raw(Harness.Client.head("GET", "/look/k1", 2_000, "", 0)).answer()
+                            .status() != 200) {
+                        assertTrue(process.isAlive());
+                        asking = new Harness.Client(address);
+                    }
+                } else {
+                    assertEquals(200, client.search(2_000).answer().status());
+                }
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+    }
+
     /** The program with an operators' file: SIGHUP takes a new one over, a bad one changes nothing. */
     @Test
     void hangupTakesOverTheOperatorsFile() throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
-        }
+        InetSocketAddress address = free();
         try (Stub one = new Stub(Stub.serves("one")); Stub two = new Stub(Stub.serves("two"));
                 Harness harness = new Harness(folder)) {
             Path file = folder.resolve("operators.toml");
