--- a/src/main/java/larkbank/cli/ServeCommand.java
+++ b/src/main/java/larkbank/cli/ServeCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import larkbank.fleet.FleetSocket;
 import larkbank.sidecar.Sidecar;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -16,6 +17,6 @@
 
     @Override
     public Integer call() {
-        return Sidecar.serve(System.getenv(), operators, System.err);
+        return Sidecar.serve(System.getenv(), operators, System.err, FleetSocket::open);
     }
 }
--- a/src/main/java/larkbank/daily/Desk.java
+++ b/src/main/java/larkbank/daily/Desk.java
@@ -1,16 +1,20 @@
 package larkbank.daily;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** What operators may ask on their door, and what they hear; it acts on the standing alone. */
 public final class Desk {
 
     private static final String NO = "NO ";
+    private static final String END = "\nEND";
 
     private final Standing standing;
     private final Figures figures;
     private final Figures.Fleet fleet;
     private final BooleanSupplier servers;
+    /** Null where there is no membership. */
+    private Supplier<String> members;
 
     /** @param servers whether a request would find one */
     public Desk(Standing standing, Figures figures, Figures.Fleet fleet, BooleanSupplier servers) {
@@ -20,14 +24,20 @@
         this.servers = servers;
     }
 
+    /** From now on this tells who the others are. */
+    public void tell(Supplier<String> those) {
+        members = those;
+    }
+
     /** The answer to one line, without its end. */
     public String answer(String line) {
         return switch (line.strip()) {
             case "READY" -> ready();
-            case "STATS" -> figures.json(fleet) + "\nEND";
+            case "STATS" -> figures.json(fleet) + END;
             case "DRAIN" -> ask(Standing.Event.DRAIN);
             case "UNDRAIN" -> ask(Standing.Event.UNDRAIN);
-            default -> NO + "unknown call; READY, STATS, DRAIN and UNDRAIN are known";
+            case "MEMBERS" -> members == null ? NO + "membership is off" : members.get() + END;
+            default -> NO + "unknown call; READY, STATS, DRAIN, UNDRAIN and MEMBERS are known";
         };
     }
 
--- /dev/null
+++ b/src/main/java/larkbank/fleet/Chronicle.java
@@ -0,0 +1,41 @@
+package larkbank.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.tinylog.Logger;
+import org.tinylog.ThreadContext;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * What a process saw, a line of JSON for each event, with the time of its wall clock and of its monotonic
+ * one: records of several processes on one machine can be merged by the second. A thread of its own writes.
+ */
+final class Chronicle {
+
+    /** Set once for the process, before the first event. */
+    static void open(String file, String process) {
+        Map<String, String> settings = Map.of(
+                "writer", "json",
+                "writer.file", file,
+                "writer.format", "LDJSON",
+                "writer.append", "true",
+                "writer.field.process", process,
+                "writer.field.wall", "{date: yyyy-MM-dd'T'HH:mm:ss.SSSXXX}",
+                "writer.field.mono", "{context: mono}",
+                "writer.field.event", "{context: event}",
+                "writer.field.about", "{context: about}",
+                "writer.field.text", "{message-only}");
+        Configuration.replace(new HashMap<>(settings));
+        Configuration.set("writingthread", "true");
+        Configuration.set("autoshutdown", "true");
+    }
+
+    private Chronicle() { }
+
+    static void note(String event, String about, String text) {
+        ThreadContext.put("mono", System.nanoTime() / 1_000);
+        ThreadContext.put("event", event);
+        ThreadContext.put("about", about);
+        Logger.info((Object) text);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/lab/Fellows.java
@@ -0,0 +1,190 @@
+package larkbank.lab;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import larkbank.membership.Change;
+import larkbank.membership.Entry;
+import larkbank.membership.Membership;
+import larkbank.membership.MembershipPlan;
+import larkbank.membership.Message;
+import larkbank.membership.Peer;
+import larkbank.membership.Rings;
+import larkbank.membership.Standing;
+
+/** A fleet of the program's own memberships in made-up time. */
+public final class Fellows {
+
+    /** A change that one of them has seen. */
+    public record Seen(long at, int by, Change change) { }
+
+    /** One process, or one that was. */
+    public static final class Fellow {
+        public final int place;
+        public final String name;
+        private long lives;
+        private Membership core;
+        /** Why it was refused; null while it was not. */
+        private String refused;
+        private long bytes;
+
+        Fellow(int place, String name) {
+            this.place = place;
+            this.name = name;
+        }
+
+        public Membership core() {
+            return core;
+        }
+
+        public String refused() {
+            return refused;
+        }
+    }
+
+    private static final int FIRST_PORT = 1_000;
+
+    public final Datagrams<Message> net;
+    public final List<Seen> changes = new ArrayList<>();
+    private final MembershipPlan plan;
+    private final SplittableRandom random;
+    private final List<Fellow> fellows = new ArrayList<>();
+    private final Map<InetSocketAddress, Integer> places = new HashMap<>();
+    private final Rings.Cache rings = new Rings.Cache(512);
+    private Consumer<Seen> listener = seen -> { };
+
+    /** @param seeds how many of the first members are seeds */
+    public Fellows(long seed, int members, int seeds, long pauseMicros) {
+        net = new Datagrams<>(seed);
+        random = new SplittableRandom(~seed);
+        for (int i = 0; i < members; i++) {
+            add("n" + i);
+        }
+        plan = new MembershipPlan("lab", address(0), address(0),
+                fellows.stream().limit(seeds).map(f -> address(f.place)).toList(), pauseMicros,
+                MembershipPlan.period(pauseMicros), MembershipPlan.MOST, null);
+    }
+
+    /** One more place, with a process that has not started. */
+    public Fellow add(String name) {
+        Fellow fellow = new Fellow(net.place(), name);
+        fellows.add(fellow);
+        places.put(address(fellow.place), fellow.place);
+        return fellow;
+    }
+
+    public static InetSocketAddress address(int place) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), FIRST_PORT + place);
+    }
+
+    public MembershipPlan plan() {
+        return plan;
+    }
+
+    public List<Fellow> all() {
+        return fellows;
+    }
+
+    public Fellow get(int i) {
+        return fellows.get(i);
+    }
+
+    public void onChange(Consumer<Seen> next) {
+        listener = next;
+    }
+
+    /** Starts a process that knows nothing but the seeds. */
+    public Fellow start(int i) {
+        Fellow f = fellows.get(i);
+        f.refused = null;
+        Peer peer = new Peer(f.name, random.nextLong(), net.now() / 1_000 + ++f.lives, 1, address(f.place));
+        f.core = new Membership(net.now(), plan, peer, Map.of("front", "127.0.0.1:" + (9_000 + i)),
+                random.nextLong(), new Acts(f), rings);
+        net.start(f.place, plan.beatMicros(), new Runs(f.core));
+        return f;
+    }
+
+    /** Starts all as if they had known each other for long. */
+    public void startTogether() {
+        List<Entry> known = new ArrayList<>();
+        for (int i = 0; i < fellows.size(); i++) {
+            Fellow f = start(i);
+            known.add(new Entry(f.core.self(), Standing.MEMBER, 1, Map.of("front", "127.0.0.1:" + (9_000
+                    + i)), 0));
+        }
+        fellows.forEach(f -> f.core.know(net.now(), known));
+    }
+
+    public void run(long micros) {
+        net.run(net.now() + micros);
+    }
+
+    /** Plays on until this holds, looked at each beat; the time that it took, or -1 past the limit. */
+    public long await(long limit, BooleanSupplier holds) {
+        long begun = net.now();
+        while (!holds.getAsBoolean()) {
+            if (net.now() - begun > limit) {
+                return -1;
+            }
+            run(plan.beatMicros());
+        }
+        return net.now() - begun;
+    }
+
+    /** Whether each of these has just these in its view. */
+    public boolean agree(List<Fellow> among, List<Fellow> on) {
+        for (Fellow f : among) {
+            if (f.core.live() != on.size() || !on.stream().allMatch(o -> f.core.isIn(o.name))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private record Runs(Membership core) implements Datagrams.Process<Message> {
+        @Override
+        public void tick(long now) {
+            core.tick(now);
+        }
+
+        @Override
+        public void receive(long now, Message message) {
+            core.receive(now, message);
+        }
+    }
+
+    private final class Acts implements Membership.Actions {
+        private final Fellow fellow;
+
+        Acts(Fellow fellow) {
+            this.fellow = fellow;
+        }
+
+        @Override
+        public void send(InetSocketAddress to, Message message) {
+            net.send(fellow.place, places.getOrDefault(to, -1), message);
+        }
+
+        @Override
+        public void changed(Change change) {
+            Seen seen = new Seen(net.now(), fellow.place, change);
+            changes.add(seen);
+            listener.accept(seen);
+        }
+
+        @Override
+        public void refused(String why) {
+            fellow.refused = why;
+            net.kill(fellow.place);
+        }
+
+        @Override
+        public void log(String line) { }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/membership/Membership.java
@@ -0,0 +1,757 @@
+package larkbank.membership;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import larkbank.membership.Herald.Load;
+import larkbank.membership.Links.Link;
+import larkbank.membership.Message.Kind;
+import larkbank.membership.Verdicts.Ruling;
+
+/**
+ * One process's part in the membership of a fleet. It is told the time with every event, is called at least
+ * once a beat, and acts through {@link Actions} alone.
+ *
+ * <p>Each member asks its neighbours in three rings and tells all when it has lost touch with one, or found
+ * it again; {@link Verdicts} says what follows. Whoever hears that it was put out comes back under a higher
+ * incarnation, and is in again once a neighbour has talked with it both ways.
+ */
+public final class Membership {
+
+    /** What the process does; none of it reaches back into this object within the call. */
+    public interface Actions {
+        void send(InetSocketAddress to, Message message);
+
+        /** The view is another. */
+        void changed(Change change);
+
+        /** Another process has the name, and had it first. */
+        void refused(String why);
+
+        void log(String line);
+    }
+
+    /** A member as it is seen from here. */
+    public record Seen(Entry entry, String state) { }
+
+    /** Bytes a second, at most: of questions and answers, and of all else. */
+    private static final int ASKING = 64_000;
+    private static final int TELLING = 512_000;
+    /** Messages in answer to one comparison. */
+    private static final int PAGES = 8;
+    /** Ends of one ruling that are told one by one; of more the others hear the same reports. */
+    private static final int FEW_ENDS = 8;
+    /** Questions at a time to those that are looked for. */
+    private static final int LOOKS = 4;
+    /** Members that ask for one that was lost, each second. */
+    private static final double KNOCKS = 3;
+
+    private MembershipPlan plan;
+    private final Actions actions;
+    private final SplittableRandom random;
+    private final Rings.Cache cache;
+    private final Roster roster = new Roster();
+    private final Reports reports = new Reports();
+    private final Herald herald = new Herald();
+    private final Contests contests = new Contests();
+    private final Links links;
+    private final Verdicts verdicts;
+    private final Allowance asking = new Allowance(ASKING);
+    private final Allowance telling = new Allowance(TELLING);
+    private Peer self;
+    /** Some neighbour has talked with this process both ways, ever. */
+    private boolean admitted;
+    private boolean leaving;
+    /** Another process has the name; nothing is said or heard any more. */
+    private boolean outside;
+
+    private record Told(long until, String by) { }
+
+    /** Ends told by others, which hold unless the member itself says otherwise by then. */
+    private final Map<String, Told> condemned = new TreeMap<>();
+    private final Set<String> candidates = new TreeSet<>();
+    /** Members found while they could not be reached over neighbours, and until when that counts. */
+    private final Map<String, Long> found = new HashMap<>();
+    private Set<String> looked = Set.of();
+    private Rings rings;
+    private long ringsOf;
+    private boolean targetsOld = true;
+    private boolean rulingOld;
+    private int sayings;
+    private long lastEventAt = Long.MIN_VALUE;
+    private long lookAt;
+    private long knockAt;
+    private long seedAt;
+    private long sweepAt;
+    private long compareAt;
+    private long agreedAt = Long.MIN_VALUE;
+    private long changedAt;
+    private int leaves;
+    private long dropped;
+
+    public Membership(long now, MembershipPlan plan, Peer self, Map<String, String> facts, long seed,
+            Actions actions) {
+        this(now, plan, self, facts, seed, actions, new Rings.Cache(2));
+    }
+
+    /** With rings that other members in the same memory use too. */
+    public Membership(long now, MembershipPlan plan, Peer self, Map<String, String> facts, long seed,
+            Actions actions, Rings.Cache cache) {
+        this.plan = plan;
+        this.self = self;
+        this.actions = actions;
+        this.cache = cache;
+        random = new SplittableRandom(seed);
+        links = new Links(plan, random.split());
+        verdicts = new Verdicts(plan.graceMicros());
+        roster.put(now, new Entry(self, Standing.CANDIDATE, 1, facts, 0), true);
+        lastEventAt = now;
+        changedAt = now;
+    }
+
+    /** Begins with members that are known already, as after a start long ago. */
+    public void know(long now, Iterable<Entry> members) {
+        for (Entry e : members) {
+            roster.put(now, e.name().equals(self.name()) ? roster.get(self.name()).with(e) : e, true);
+        }
+        admitted = true;
+        targetsOld = true;
+    }
+
+    // ---- What is seen
+
+    /** Members in the view, this one among them. */
+    public int live() {
+        return outside ? 1 : roster.live();
+    }
+
+    public boolean isIn(String name) {
+        return roster.isIn(name);
+    }
+
+    public Peer self() {
+        return self;
+    }
+
+    public boolean isAdmitted() {
+        return admitted;
+    }
+
+    /** Messages that were not sent since others wanted more than is allowed. */
+    public long dropped() {
+        return dropped;
+    }
+
+    /** Everybody that is known, by name. */
+    public Map<String, Seen> members() {
+        Map<String, Seen> seen = new TreeMap<>();
+        for (Entry e : roster.all()) {
+            seen.put(e.name(), new Seen(e, state(e)));
+        }
+        return seen;
+    }
+
+    private String state(Entry e) {
+        if (!roster.isIn(e.name())) {
+            return switch (e.standing()) {
+                case LEFT -> "left";
+                case OUT -> "out";
+                default -> "joining";
+            };
+        }
+        boolean doubted = condemned.containsKey(e.name()) || looked.contains(e.name())
+                || reports.on(e.name()).stream().anyMatch(r -> r.lost()
+                && r.aboutIncarnation() == e.incarnation());
+        return doubted ? "suspect" : "alive";
+    }
+
+    // ---- Events
+
+    /** Other seeds and times hold from now on. */
+    public void retune(MembershipPlan next) {
+        plan = next;
+        links.retune(next);
+    }
+
+    /** What this process says of itself; the newest holds everywhere. */
+    public void facts(long now, Map<String, String> facts) {
+        Entry own = roster.get(self.name());
+        if (!own.facts().equals(facts)) {
+            speakOfSelf(now, new Entry(self, own.standing(), own.version() + 1, facts, 0));
+        }
+    }
+
+    /** Goes, and says so. */
+    public void leave(long now) {
+        if (!leaving && !outside) {
+            leaving = true;
+            speakOfSelf(now, roster.get(self.name()).standing(Standing.LEFT));
+            tick(now);
+        }
+    }
+
+    /** Whether enough has been said of leaving. */
+    public boolean hasLeft() {
+        return outside || leaves >= 3;
+    }
+
+    public void tick(long now) {
+        awake(now);
+        if (outside) {
+            return;
+        }
+        if (leaving) {
+            sayGoodbye(now);
+            return;
+        }
+        for (String name : List.copyOf(condemned.keySet())) {
+            if (condemned.get(name).until <= now) {
+                end(now, name, "told by " + condemned.get(name).by, Change.Kind.OUT);
+            }
+        }
+        targets(now);
+        for (Link link : links.changed(now)) {
+            say(now, link.name, link.lost);
+        }
+        repeat(now);
+        if (rulingOld || verdicts.pending()) {
+            rule(now);
+        }
+        targets(now);
+        ask(now);
+        if (herald.hasFresh()) {
+            push(now);
+        }
+        if (now >= sweepAt) {
+            sweep(now);
+        }
+    }
+
+    public void receive(long now, Message m) {
+        awake(now);
+        Peer from = m.from();
+        if (outside) {
+            return;
+        }
+        if (from.name().equals(self.name())) {
+            if (from.life() != self.life()) {
+                rival(now, from);
+            }
+            return;
+        }
+        if (m.kind() == Kind.REFUSE) {
+            heedRefusal(m);
+            return;
+        }
+        boolean stranger = !roster.isIn(from.name());
+        if (leaving || !meet(now, m)) {
+            return;
+        }
+        links.heard(now, from.name());
+        m.entries().forEach(e -> learn(now, e, from.name()));
+        m.reports().forEach(r -> heed(now, r, from.name()));
+        switch (m.kind()) {
+            case PING -> answer(now, m);
+            case ACK -> {
+                answered(now, m);
+                compareWith(now, m, stranger);
+            }
+            case COMPARE -> compare(now, m);
+            default -> { }
+        }
+    }
+
+    /** Later than it asked to be called: it stood still, and what it did not hear is its own fault. */
+    private void awake(long now) {
+        long late = now - lastEventAt - plan.beatMicros();
+        lastEventAt = Math.max(lastEventAt, now);
+        if (late > plan.periodMicros() / 2) {
+            links.slept(now, late);
+            verdicts.slept(late);
+            condemned.replaceAll((name, told) -> new Told(told.until + late, told.by));
+            if (late > plan.graceMicros()) {
+                actions.log("stood still for " + late / 1_000 + " ms");
+            }
+        }
+    }
+
+    // ---- Who is who
+
+    /** What a sender says of itself; whether it is the one that has its name. */
+    private boolean meet(long now, Message m) {
+        Peer from = m.from();
+        Entry known = roster.get(from.name());
+        if (known == null) {
+            learn(now, new Entry(from, Standing.CANDIDATE, 0, Map.of(), 0), from.name());
+            return roster.get(from.name()) != null;
+        }
+        if (known.peer().life() == from.life()) {
+            if (from.incarnation() > known.incarnation()) {
+                learn(now, new Entry(from, Standing.CANDIDATE, known.version(), known.facts(), 0),
+                        from.name());
+            }
+            if (m.kind() == Kind.ACK && contests.answers(from.name(), m.number())) {
+                Peer newcomer = contests.close(from.name());
+                send(now, newcomer.address(), message(Kind.REFUSE, newcomer.name(), newcomer.life(),
+                        Load.NONE, "name '" + newcomer.name() + "' is taken by the process at "
+                        + text(known.peer()) + ", which answers"));
+            }
+            return true;
+        }
+        if (known.standing().ended() && !roster.isIn(from.name())) {
+            if (from.incarnation() > known.incarnation()) {
+                learn(now, new Entry(from, Standing.CANDIDATE, 0, Map.of(), 0), from.name());
+                return true;
+            }
+            // It has to begin above the one that had its name before, and hears so.
+            if (m.kind() == Kind.PING) {
+                send(now, from.address(), message(Kind.ACK, from.name(), m.number(),
+                        new Load(List.of(roster.told(now, known)), List.of()), ""));
+            }
+            return false;
+        }
+        if (m.kind() == Kind.ACK && contests.answers(from.name(), m.number())) {
+            contests.close(from.name());
+            end(now, from.name(), "another process answers at its address", Change.Kind.OUT);
+            herald.tell(roster.get(from.name()), "", now + told());
+        } else if (contests.open(now, from, plan.periodMicros())) {
+            long number = links.ask(now, from.name());
+            contests.asked(now, from.name(), number);
+            send(now, known.peer().address(), message(Kind.PING, from.name(), number, Load.NONE, ""));
+        }
+        return false;
+    }
+
+    private static String text(Peer peer) {
+        return larkbank.Addresses.text(peer.address());
+    }
+
+    /** A process of the own name has written here. */
+    private void rival(long now, Peer other) {
+        Entry own = roster.get(self.name());
+        if (admitted || other.incarnation() == self.incarnation() && !own.yieldsTo(other)) {
+            send(now, other.address(), message(Kind.REFUSE, other.name(), other.life(), Load.NONE, "name '"
+                    + other.name() + "' is taken by the process at " + text(self) + ", which answers"));
+        }
+    }
+
+    private void heedRefusal(Message m) {
+        if (m.number() == self.life() && !admitted) {
+            outside = true;
+            actions.refused(m.text());
+        }
+    }
+
+    /** What others think of this process. */
+    private void hearOfSelf(long now, Entry e) {
+        Entry own = roster.get(self.name());
+        boolean same = e.peer().life() == self.life();
+        if (e.standing().ended() && e.incarnation() >= self.incarnation() || same
+                && e.incarnation() > self.incarnation()) {
+            if (!leaving) {
+                rise(now, e.incarnation() + 1);
+            }
+        } else if (same) {
+            Entry merged = own.with(e);
+            if (merged != own && !leaving) {
+                admitted |= merged.standing() == Standing.MEMBER;
+                roster.put(now, merged, true);
+                herald.tell(merged, "", now + told());
+            }
+        } else if (own.yieldsTo(e.peer())) {
+            if (admitted && e.peer().born() > self.born()) {
+                outside = true;
+                actions.log("name '" + self.name() + "' was taken by the process at " + text(e.peer())
+                        + " while this one could not be reached; it takes no part any more");
+            }
+        } else {
+            herald.tell(own, "", now + told());
+        }
+    }
+
+    /** Comes back under a higher incarnation. */
+    private void rise(long now, int incarnation) {
+        self = self.again(incarnation);
+        Entry own = roster.get(self.name());
+        links.all().forEach(link -> link.saidAt = 0);
+        speakOfSelf(now, new Entry(self, Standing.CANDIDATE, own.version(), own.facts(), 0));
+        actions.log("was put out, and comes back as incarnation " + incarnation);
+    }
+
+    private void speakOfSelf(long now, Entry own) {
+        roster.put(now, own, true);
+        changedAt = now;
+        herald.tell(own, "", now + told());
+    }
+
+    // ---- Entries and the view
+
+    /** For how long news ride on other messages. */
+    private long told() {
+        return 2 * plan.graceMicros();
+    }
+
+    private void learn(long now, Entry e, String from) {
+        String name = e.name();
+        if (name.equals(self.name())) {
+            hearOfSelf(now, e);
+            return;
+        }
+        Entry old = roster.get(name);
+        if (old == null && (roster.size() >= plan.most() || Roster.isStale(e))) {
+            return;
+        }
+        Entry merged = old == null ? e : old.with(e);
+        if (merged == old) {
+            return;
+        }
+        boolean was = roster.isIn(name);
+        boolean anew = old == null || old.incarnation() != merged.incarnation()
+                || old.peer().life() != merged.peer().life();
+        Standing standing = merged.standing();
+        // Whoever is in stays in while it comes back, and until word of its end has had time to be denied.
+        boolean held = was && standing != Standing.LEFT;
+        roster.put(now, merged, held || standing == Standing.MEMBER);
+        changedAt = now;
+        herald.tell(merged, from, now + told());
+        if (anew) {
+            reports.forget(name);
+            verdicts.forget(name);
+            links.renew(now, name);
+            condemned.remove(name);
+            rulingOld = true;
+        }
+        if (standing == Standing.CANDIDATE) {
+            candidates.add(name);
+        } else {
+            candidates.remove(name);
+        }
+        targetsOld |= was != roster.isIn(name) || standing == Standing.CANDIDATE;
+        if (standing == Standing.OUT && was) {
+            condemned.putIfAbsent(name, new Told(now + plan.graceMicros(), from));
+        } else if (standing == Standing.LEFT && was) {
+            gone(now, name, "said so", Change.Kind.LEFT);
+        } else if (!was && standing == Standing.MEMBER) {
+            rulingOld = true;
+            actions.changed(new Change(merged.incarnation() > 1 ? Change.Kind.BACK : Change.Kind.JOINED, name,
+                    merged.incarnation(), "told by " + (from.isEmpty() ? "itself" : from), live()));
+        }
+    }
+
+    /** By the verdict of this process, or one that it takes over. */
+    private void end(long now, String name, String cause, Change.Kind kind) {
+        Entry e = roster.get(name);
+        if (!e.standing().ended()) {
+            e = e.standing(Standing.OUT);
+        }
+        boolean was = roster.isIn(name);
+        roster.put(now, e, false);
+        changedAt = now;
+        candidates.remove(name);
+        if (was) {
+            gone(now, name, cause, kind);
+        }
+    }
+
+    private void gone(long now, String name, String cause, Change.Kind kind) {
+        condemned.remove(name);
+        reports.forget(name);
+        verdicts.forget(name);
+        found.remove(name);
+        targetsOld = true;
+        rulingOld = true;
+        actions.changed(new Change(kind, name, roster.get(name).incarnation(), cause, live()));
+    }
+
+    private Rings rings() {
+        if (rings == null || ringsOf != roster.fingerprint()) {
+            ringsOf = roster.fingerprint();
+            rings = cache.of(ringsOf, roster::view);
+        }
+        return rings;
+    }
+
+    /** Whom this process watches: its neighbours, those that would be, and those found otherwise. */
+    private void targets(long now) {
+        if (!targetsOld) {
+            return;
+        }
+        targetsOld = false;
+        Set<String> names = new TreeSet<>(rings().around(self.name()));
+        for (String candidate : candidates) {
+            if (rings().around(candidate).contains(self.name())) {
+                names.add(candidate);
+            }
+        }
+        found.keySet().stream().filter(roster::isIn).forEach(names::add);
+        names.remove(self.name());
+        links.watch(now, names);
+    }
+
+    // ---- Reports and verdicts
+
+    private void say(long now, String name, boolean lost) {
+        Entry e = roster.get(name);
+        if (e == null || !roster.isIn(name)) {
+            return;
+        }
+        Report report = new Report(self.name(), self.incarnation(), name, e.incarnation(), ++sayings, lost);
+        Link link = links.get(name);
+        if (link != null) {
+            link.saidAt = now;
+        }
+        reports.take(now, report);
+        herald.tell(report, "", now + told());
+        rulingOld = true;
+    }
+
+    /** What holds on is said again, so that nobody forgets it. */
+    private void repeat(long now) {
+        for (Link link : links.all()) {
+            if (now - link.saidAt > Reports.REPEAT * plan.periodMicros()) {
+                boolean answers = !link.lost && reports.on(link.name).stream()
+                        .anyMatch(r -> r.lost() && !r.reporter().equals(self.name()));
+                if (link.lost || answers && links.inTouch(now, link.name) || found.containsKey(link.name)) {
+                    say(now, link.name, link.lost);
+                }
+            }
+        }
+    }
+
+    private void heed(long now, Report r, String from) {
+        Entry about = roster.get(r.about());
+        Entry reporter = roster.get(r.reporter());
+        if (about == null || reporter == null || r.reporter().equals(self.name())
+                || about.incarnation() != r.aboutIncarnation() || !roster.isIn(r.about())
+                || reporter.incarnation() != r.reporterIncarnation() || !reports.take(now, r)) {
+            return;
+        }
+        rulingOld = true;
+        herald.tell(r, from, now + told());
+        Report mine = reports.by(self.name(), r.about());
+        if (r.lost() && links.inTouch(now, r.about()) && (mine == null || mine.lost()
+                || now - links.get(r.about()).saidAt > plan.graceMicros())) {
+            say(now, r.about(), false);
+        }
+    }
+
+    private void rule(long now) {
+        rulingOld = false;
+        if (reports.none()) {
+            looked = Set.of();
+            if (!verdicts.pending()) {
+                return;
+            }
+        }
+        Ruling ruling = verdicts.rule(now, rings(), self.name(), roster, reports);
+        looked = ruling.missing();
+        for (String name : ruling.out()) {
+            List<String> by = new ArrayList<>();
+            reports.on(name).stream().filter(Report::lost).forEach(r -> by.add(r.reporter()));
+            by.sort(null);
+            end(now, name, by.isEmpty() ? "out of reach" : "lost by " + String.join(", ", by),
+                    Change.Kind.OUT);
+            if (ruling.out().size() <= FEW_ENDS) {
+                herald.tell(roster.get(name), "", now + told());
+            }
+        }
+    }
+
+    // ---- Questions and answers
+
+    private Message message(Kind kind, String to, long number, Load load, String text) {
+        return new Message(kind, self, to, number, roster.digest(), load.entries(), load.reports(), List.of(),
+                text);
+    }
+
+    private void send(long now, InetSocketAddress to, Message m) {
+        int bytes = 100 + 3 * m.text().length() + 6 * m.buckets().size();
+        for (Entry e : m.entries()) {
+            bytes += e.size();
+        }
+        for (Report r : m.reports()) {
+            bytes += r.size();
+        }
+        boolean asks = m.kind() == Kind.PING || m.kind() == Kind.ACK;
+        if ((asks ? asking : telling).spend(now, bytes)) {
+            actions.send(to, m);
+        } else {
+            dropped++;
+        }
+    }
+
+    private void ping(long now, String name) {
+        Entry e = roster.get(name);
+        if (e != null) {
+            send(now, e.peer().address(), message(Kind.PING, name, links.ask(now, name),
+                    herald.ride(now, roster, name), ""));
+        }
+    }
+
+    private void ask(long now) {
+        for (Link link : List.copyOf(links.all())) {
+            if (now >= link.dueAt) {
+                ping(now, link.name);
+            }
+        }
+        if (!looked.isEmpty() && now >= lookAt) {
+            lookAt = now + 2 * plan.beatMicros();
+            List<String> names = List.copyOf(looked);
+            for (int i = 0; i < Math.min(LOOKS, names.size()); i++) {
+                ping(now, names.get(random.nextInt(names.size())));
+            }
+        }
+        if (now >= seedAt) {
+            knockAtSeeds(now);
+        }
+        if (now >= knockAt) {
+            knockAt = now + 2 * plan.periodMicros() + random.nextLong(plan.periodMicros());
+            List<Entry> lost = roster.lost();
+            if (!lost.isEmpty() && random.nextDouble() < KNOCKS / live()) {
+                knock(now, lost.get(random.nextInt(lost.size())).peer().address());
+            }
+        }
+    }
+
+    /** Whoever is alone asks all seeds; others ask one now and then that is none of them. */
+    private void knockAtSeeds(long now) {
+        boolean alone = roster.live() == 1;
+        seedAt = now + (alone ? plan.periodMicros() : 10 * plan.periodMicros())
+                + random.nextLong(plan.periodMicros());
+        Set<InetSocketAddress> known = new HashSet<>();
+        known.add(self.address());
+        if (!alone) {
+            for (Entry e : roster.all()) {
+                if (roster.isIn(e.name())) {
+                    known.add(e.peer().address());
+                }
+            }
+        }
+        List<InetSocketAddress> others = plan.seeds().stream().filter(s -> !known.contains(s))
+                .toList();
+        if (alone) {
+            others.forEach(seed -> knock(now, seed));
+        } else if (!others.isEmpty()) {
+            knock(now, others.get(random.nextInt(others.size())));
+        }
+    }
+
+    private void knock(long now, InetSocketAddress to) {
+        send(now, to, message(Kind.PING, "", links.ask(now, ""),
+                new Load(List.of(roster.get(self.name())), List.of()), ""));
+    }
+
+    private void answer(long now, Message m) {
+        Peer from = m.from();
+        Entry known = roster.get(from.name());
+        Load load = herald.ride(now, roster, from.name());
+        if (known != null && known.standing().ended() && known.incarnation() >= from.incarnation()) {
+            // It may not know that it was put out.
+            List<Entry> first = new ArrayList<>(List.of(roster.told(now, known)));
+            load.entries().stream().limit(4).forEach(first::add);
+            load = new Load(first, List.of());
+        }
+        send(now, from.address(), message(Kind.ACK, from.name(), m.number(), load, ""));
+    }
+
+    private void answered(long now, Message m) {
+        String name = m.from().name();
+        Entry known = roster.get(name);
+        if (links.answered(m.number(), name) < 0 || known == null
+                || known.incarnation() != m.from().incarnation()) {
+            return;
+        }
+        if (known.standing() == Standing.CANDIDATE && links.get(name) != null) {
+            learn(now, known.standing(Standing.MEMBER), "");
+        }
+        if (looked.contains(name) && roster.isIn(name)) {
+            found.put(name, now + Reports.REPEAT * plan.periodMicros());
+            targetsOld = true;
+            targets(now);
+            say(now, name, false);
+        }
+    }
+
+    // ---- What others know besides
+
+    private void compareWith(long now, Message m, boolean stranger) {
+        if (m.digest() == roster.digest()) {
+            agreedAt = now;
+        } else if (now >= compareAt && (stranger || agreedAt == Long.MIN_VALUE
+                || now - changedAt > 4 * plan.periodMicros() || now - agreedAt > 8 * plan.periodMicros())) {
+            compareAt = now + 2 * plan.beatMicros();
+            sendParts(now, m.from(), 1);
+        }
+    }
+
+    private void sendParts(long now, Peer to, long number) {
+        send(now, to.address(), new Message(Kind.COMPARE, self, to.name(), number, roster.digest(),
+                List.of(roster.get(self.name())), List.of(), roster.buckets(), ""));
+    }
+
+    private void compare(long now, Message m) {
+        List<Entry> page = new ArrayList<>();
+        int room = Message.ROOM;
+        int pages = 0;
+        for (Entry e : roster.beyond(m.buckets(), random.nextInt(Message.PARTS))) {
+            if (e.size() > room) {
+                send(now, m.from().address(), message(Kind.NEWS, m.from().name(), 0,
+                        new Load(page, List.of()), ""));
+                page = new ArrayList<>();
+                room = Message.ROOM;
+                if (++pages == PAGES) {
+                    break;
+                }
+            }
+            room -= e.size();
+            page.add(roster.told(now, e));
+        }
+        if (!page.isEmpty()) {
+            send(now, m.from().address(), message(Kind.NEWS, m.from().name(), 0, new Load(page, List.of()),
+                    ""));
+        }
+        if (m.number() == 1) {
+            sendParts(now, m.from(), 0);
+        }
+    }
+
+    private void push(long now) {
+        for (Link link : links.all()) {
+            Entry to = roster.get(link.name);
+            for (Load load : herald.push(now, roster, link.name)) {
+                send(now, to.peer().address(), message(Kind.NEWS, link.name, 0, load, ""));
+            }
+        }
+        herald.pushed(now);
+    }
+
+    private void sayGoodbye(long now) {
+        if (leaves++ >= 3) {
+            return;
+        }
+        Load own = new Load(List.of(roster.get(self.name())), List.of());
+        for (Link link : links.all()) {
+            send(now, roster.get(link.name).peer().address(), message(Kind.NEWS, link.name, 0, own, ""));
+        }
+    }
+
+    private void sweep(long now) {
+        sweepAt = now + 2 * plan.periodMicros();
+        rulingOld |= reports.fade(now, plan.periodMicros());
+        herald.expire(now);
+        links.expire(now);
+        roster.expire(now);
+        contests.expire(now, 4 * plan.silenceMicros());
+        if (found.values().removeIf(until -> now > until)) {
+            targetsOld = true;
+        }
+        candidates.removeIf(name -> roster.get(name) == null);
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/membership/Message.java
@@ -0,0 +1,35 @@
+package larkbank.membership;
+
+import java.util.List;
+
+/**
+ * What one process tells another, in one datagram.
+ *
+ * @param from who says it, whatever address it came from
+ * @param to the name it is for; empty where only an address is known
+ * @param number of a question, which its answer repeats; of a refusal the life that it is for
+ * @param digest of all entries that the sender knows
+ * @param buckets digests of parts of them; empty but in a comparison
+ * @param text why, in a refusal; empty in all else
+ */
+public record Message(Kind kind, Peer from, String to, long number, long digest, List<Entry> entries,
+        List<Report> reports, List<Integer> buckets, String text) {
+
+    /** What a message is for; all but the last may carry news. */
+    public enum Kind {
+        /** A question that wants an answer. */
+        PING,
+        ACK,
+        /** News alone. */
+        NEWS,
+        /** What the sender knows, by parts; number 1 asks for the same. */
+        COMPARE,
+        /** The receiver's name is taken. */
+        REFUSE
+    }
+
+    /** Bytes of entries and reports that fit beside everything else of a message. */
+    static final int ROOM = 1_000;
+    /** The same in a comparison. */
+    static final int PARTS = 128;
+}
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -47,7 +47,8 @@
         plan = new Plan(listeners(), pools(), new Router<>(routes),
                 routes.stream().anyMatch(r -> r.target().webSocket() != null),
                 file.plugins().stream().sorted(Comparator.comparingInt(PluginSection::order)
-                        .thenComparing(s -> s.plan().name())).map(PluginSection::plan).toList(), fleet());
+                        .thenComparing(s -> s.plan().name())).map(PluginSection::plan).toList(), fleet(),
+                file.membership() == null ? null : file.membership().plan());
     }
 
     /**
--- a/src/main/java/larkbank/operators/OperatorsFile.java
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import larkbank.cell.CellsPlan;
+import larkbank.membership.MembershipPlan;
 import larkbank.route.Match;
 import larkbank.route.PluginPlan;
 import larkbank.route.StaticServer;
@@ -12,7 +13,7 @@
 /** A file as it is written: each section with its values and their lines, before anything is compared. */
 record OperatorsFile(List<ListenerSection> listeners, Map<String, PoolSection> pools,
         Map<String, ClassSection> classes, List<RouteSection> routes, List<PluginSection> plugins,
-        FleetSection fleet) {
+        FleetSection fleet, MembershipSection membership) {
 
     /** Called in the order of these numbers, of equals in that of their names. */
     record PluginSection(int order, PluginPlan plan) { }
@@ -21,6 +22,9 @@
     record FleetSection(int line, int instances, double listRate, Long idlePerServer, double probeRate,
             Map<String, Integer> lines) { }
 
+    /** How this process takes part among others; null where it does not. */
+    record MembershipSection(int line, MembershipPlan plan) { }
+
     record ListenerSection(String name, int line, InetSocketAddress address) { }
 
     /** Servers are null where discovery tells them; groups are the lines of their entries. */
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -16,6 +16,7 @@
 import larkbank.operators.OperatorsFile.ClassSection;
 import larkbank.operators.OperatorsFile.FleetSection;
 import larkbank.operators.OperatorsFile.ListenerSection;
+import larkbank.operators.OperatorsFile.MembershipSection;
 import larkbank.operators.OperatorsFile.PluginSection;
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
@@ -97,8 +98,10 @@
         }
         Section fleet = top.table("fleet");
         FleetSection shared = fleet == null ? null : fleet(fleet);
+        Section membership = top.table("membership");
+        MembershipSection others = membership == null ? null : new MembershipReader(membership).read();
         top.rejectUnknown();
-        return new OperatorsFile(listeners, pools, classes, routes, plugins, shared);
+        return new OperatorsFile(listeners, pools, classes, routes, plugins, shared, others);
     }
 
     private FleetSection fleet(Section section) {
@@ -126,7 +129,7 @@
         return new ListenerSection(name(section), section.line(), address);
     }
 
-    private static InetSocketAddress address(Section section, String key) {
+    static InetSocketAddress address(Section section, String key) {
         String text = section.required(key);
         if (text == null) {
             return null;
--- /dev/null
+++ b/src/main/java/larkbank/sidecar/Fellowship.java
@@ -0,0 +1,38 @@
+package larkbank.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import larkbank.membership.MembershipPlan;
+
+/** What a sidecar has to do with others of its kind, where the operators' file says so; all on the loop. */
+public interface Fellowship {
+
+    /** Where a process begins to take part. */
+    interface Maker {
+        /** Done once its socket is open; it fails where that can't be. */
+        CompletableFuture<Fellowship> open(Opening opening);
+    }
+
+    /**
+     * What it is made with.
+     *
+     * @param beside whether another process may hold the socket for a while yet
+     * @param refused told why the process may not take part at all
+     */
+    record Opening(EventLoop loop, String name, MembershipPlan plan, boolean beside,
+            Map<String, String> facts, Consumer<String> log, Consumer<String> refused) { }
+
+    /** One line of JSON. */
+    String members();
+
+    /** What this process says of itself to the others. */
+    void facts(Map<String, String> facts);
+
+    /** Other seeds and times hold from now on. */
+    void retune(MembershipPlan next);
+
+    /** Says that it goes, and closes its socket. */
+    void leave();
+}
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -10,6 +10,7 @@
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.Settings;
+import larkbank.membership.MembershipPlan;
 import larkbank.plugin.RequestView;
 
 /** The addresses, routes and pools of a sidecar; what an operators' file may change. */
@@ -23,6 +24,11 @@
     interface Change {
         /** Takes it over, on the loop; the future fails where that can't be, and then nothing has changed. */
         CompletableFuture<Void> take();
+
+        /** How this process takes part among others from then on; null where that is not said. */
+        default MembershipPlan membership() {
+            return null;
+        }
     }
 
     /** Hands each pool its first list. */
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -19,6 +19,7 @@
 import larkbank.footprint.AskPacer;
 import larkbank.footprint.FleetPlan;
 import larkbank.footprint.ProbeBudget;
+import larkbank.membership.MembershipPlan;
 import larkbank.operators.BadFile;
 import larkbank.operators.Operators;
 import larkbank.plugin.BadPlugin;
@@ -122,7 +123,7 @@
         Plan plan = read(file, config);
         PluginChain plugins = chain(file, plan, null);
         return new Sidecar.Arrangement(parts -> new OperatorsLayout(parts, file, plan, plugins),
-                plan.listeners().get(0).address());
+                plan.listeners().get(0).address(), plan.membership());
     }
 
     private static Plan read(Path file, Config config) throws IOException {
@@ -274,11 +275,22 @@
         Plan next = read(file, nextConfig);
         PluginChain before = plugins;
         PluginChain chain = chain(file, next, before);
-        return () -> take(next, nextConfig).thenRun(() -> swap(before, chain)).whenComplete((v, e) -> {
-            if (e != null && chain != null) {
-                chain.closeAllBut(before);
+        return new Change() {
+            @Override
+            public CompletableFuture<Void> take() {
+                return OperatorsLayout.this.take(next, nextConfig).thenRun(() -> swap(before, chain))
+                        .whenComplete((v, e) -> {
+                            if (e != null && chain != null) {
+                                chain.closeAllBut(before);
+                            }
+                        });
             }
-        });
+
+            @Override
+            public MembershipPlan membership() {
+                return next.membership();
+            }
+        };
     }
 
     /** The doors first, since only they can fail; the rest is taken over in one turn of the loop. */
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -16,7 +16,9 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -24,8 +26,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import larkbank.Addresses;
 import larkbank.Choice;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
@@ -35,6 +40,7 @@
 import larkbank.daily.Desk;
 import larkbank.daily.Figures;
 import larkbank.daily.Standing;
+import larkbank.membership.MembershipPlan;
 import larkbank.plugin.RequestView;
 import larkbank.websocket.Handshake;
 
@@ -65,14 +71,18 @@
     private final ListFeed feed;
     private final Standing standing = new Standing();
     private final Desk desk;
+    /** Null where it takes no part among others. */
+    private Fellowship fellowship;
+    private InetSocketAddress front;
+    private final long startedMillis = System.currentTimeMillis();
 
     /** Makes the layout of a sidecar out of its parts. */
     interface Layouts {
         Layout of(Layout.Parts parts);
     }
 
-    /** How to make the layout, and an address at which it will listen. */
-    record Arrangement(Layouts layouts, InetSocketAddress stage) { }
+    /** How to make the layout, an address at which it will listen, and its part among others or null. */
+    record Arrangement(Layouts layouts, InetSocketAddress stage, MembershipPlan membership) { }
 
     Sidecar(EventLoop loop, Config config, PrintStream log) {
         this(loop, config, log, Choice::new);
@@ -117,11 +127,12 @@
 
     /** Runs a sidecar until it is told to end; the exit status. */
     public static int serve(Map<String, String> environment, PrintStream log) {
-        return serve(environment, null, log);
+        return serve(environment, null, log, null);
     }
 
-    /** The same with an operators' file; null for none. */
-    public static int serve(Map<String, String> environment, Path operators, PrintStream errors) {
+    /** The same with an operators' file and how to take part among others; null for none. */
+    public static int serve(Map<String, String> environment, Path operators, PrintStream errors,
+            Fellowship.Maker fellows) {
         Config config;
         Arrangement arrangement;
         String descriptor = environment.get("LB_SOCKET_FD");
@@ -129,7 +140,7 @@
         ServerSocketChannel inherited = null;
         try {
             config = Config.read(environment);
-            arrangement = operators == null ? new Arrangement(PlainLayout::new, config.listen())
+            arrangement = operators == null ? new Arrangement(PlainLayout::new, config.listen(), null)
                     : OperatorsLayout.of(operators, config);
             if (InheritedSocket.promised(descriptor)) {
                 inherited = InheritedSocket.take(descriptor);
@@ -155,8 +166,8 @@
                     new DefaultThreadFactory("reading", true));
             Hangup.handle(() -> reading.execute(() -> sidecar.readAgain(environment)));
             if (Hangup.isIgnored()) {
-                log.println("larkbank: SIGHUP is ignored by what started this process, and so by it: files are"
-                        + " not read again; 'env --default-signal=HUP COMMAND' undoes that");
+                log.println("larkbank: SIGHUP is ignored by what started this process, and so by it: files"
+                        + " are not read again; 'env --default-signal=HUP COMMAND' undoes that");
             }
             Thread end = new Thread(() -> {
                 loop.execute(() -> sidecar.stop(ended::countDown));
@@ -165,6 +176,14 @@
                 Runtime.getRuntime().halt(0);
             });
             Runtime.getRuntime().addShutdownHook(end);
+            AtomicBoolean refused = new AtomicBoolean();
+            if (arrangement.membership() != null) {
+                loop.submit(() -> sidecar.join(fellows, arrangement.membership(), others != null, why -> {
+                    refused.set(true);
+                    log.println("larkbank: " + why);
+                    sidecar.stop(ended::countDown);
+                })).get().get();
+            }
             OperatorsDoor door = config.operator() == null ? null
                     : sidecar.openToOperators(config.operator()).get();
             sidecar.rehearse(config, arrangement.stage(), inherited, door);
@@ -175,6 +194,10 @@
                 throw e;
             }
             ended.await();
+            if (refused.get()) {
+                Runtime.getRuntime().removeShutdownHook(end);
+                return 2;
+            }
             return 0;
         } catch (InterruptedException e) {
             return 1;
@@ -216,7 +239,7 @@
             Layout.Change change = layout.reread(next);
             // All in one turn of the loop: no request finds one part of it as it was and another anew. It is
             // a later turn than the one that numbered the classes, which holds for what has come since.
-            return CompletableFuture.supplyAsync(() -> change.take().thenRun(() -> adopt(next)), loop)
+            return CompletableFuture.supplyAsync(() -> change.take().thenRun(() -> adopt(next, change)), loop)
                     .thenCompose(taken -> taken)
                     .exceptionally(e -> {
                         turnDown("larkbank: " + (e.getCause() == null ? e : e.getCause().getMessage()));
@@ -228,7 +251,10 @@
         }
     }
 
-    private void adopt(Config next) {
+    private void adopt(Config next, Layout.Change change) {
+        if (fellowship != null && change.membership() != null) {
+            fellowship.retune(change.membership());
+        }
         config = next;
         reader.retune(next.settings());
         inHand.figures().show(names(next));
@@ -254,6 +280,26 @@
         }
     }
 
+    /** Takes part among others from now on. */
+    private CompletableFuture<Void> join(Fellowship.Maker fellows, MembershipPlan plan, boolean beside,
+            Consumer<String> refused) {
+        front = config.listen();
+        return fellows.open(new Fellowship.Opening(loop, config.name(), plan, beside, facts(), this::log,
+                refused)).thenAccept(joined -> {
+                    fellowship = joined;
+                    desk.tell(joined::members);
+                });
+    }
+
+    /** What the others hear of this process. */
+    private Map<String, String> facts() {
+        Map<String, String> facts = new TreeMap<>();
+        facts.put("front", Addresses.text(front));
+        facts.put("state", standing.state().name().toLowerCase(Locale.ROOT));
+        facts.put("start", String.valueOf(startedMillis));
+        return facts;
+    }
+
     /** Hands the modules their first lists. */
     void open() {
         layout.open();
@@ -312,6 +358,9 @@
         } else {
             clients.undrain();
         }
+        if (fellowship != null) {
+            fellowship.facts(facts());
+        }
     }
 
     /** Hands out the first lists and opens the doors; gives an address once clients can connect. */
@@ -325,6 +374,7 @@
             return layout.listen();
         }, loop).thenCompose(address -> address).thenApplyAsync(address -> {
             standing.on(Standing.Event.OPENED);
+            front = address;
             followStanding();
             return address;
         }, loop);
@@ -357,6 +407,9 @@
         if (!standing.on(Standing.Event.TERMINATE)) {
             return;
         }
+        if (fellowship != null) {
+            fellowship.leave();
+        }
         layout.stopping();
         clients.end(() -> {
             discovery.close();
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -22,6 +22,7 @@
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
 import larkbank.LoadBalancer.Settings;
+import larkbank.testkit.Configs;
 import larkbank.testkit.Http;
 import larkbank.testkit.Stub;
 import larkbank.websocket.UpgradeAccount.Counters;
@@ -32,21 +33,6 @@
 
     static final String NOTHING_NEW = "{'rev':1,'all':false,'targets':[]}";
 
-    private static final String SETTINGS = "{'classes':["
-            + "{'name':'search','effect':'pure','aim_us':400000,'deadline_us':3000000,'worth':1,"
-            + "'late_value':0.5},"
-            + "{'name':'hold','effect':'token','aim_us':400000,'deadline_us':3000000,'worth':1,"
-            + "'late_value':0.5,'dedup_window_us':3000000},"
-            + "{'name':'book','effect':'side_effect','aim_us':400000,'deadline_us':3000000,'worth':1,"
-            + "'late_value':0.5}],"
-            + "'tenants':[{'name':'acme','share':1}],'zones':['a'],'models':['m'],'zone':0,'discovery':'ask',"
-            + "'policy_limits':{'attempts_cap':4,'cancelling':true,'retry_after':true,"
-            + "'max_retry_after_us':2000000,'second_copies':true,'conn_idle_us':15000000,"
-            + "'connect_timeout_us':CONNECT},"
-            + "'report':{'source':'answers','names':['cpu','rps','err_rps']},"
-            + "'rules':{'ask_every_us':800000,'drain_grace_us':300000,'cold_from':0.3,'cold_us':1000000,"
-            + "'fall_us':1000000},'tick_us':1000}";
-
     final Stub discovery;
     final EventLoop loop;
     private final MultiThreadIoEventLoopGroup group =
@@ -69,23 +55,16 @@
         loop = group.next();
         this.folder = folder;
         file = folder.resolve("config.json");
-        Files.writeString(file, json(("{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
-                + discovery.port() + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
-                + "},'known':" + list(1, true, "in_service", servers) + ",'settings':" + SETTINGS + "}")
-                .replace("CONNECT", String.valueOf(connectMicros))));
+        Files.writeString(file, Configs.of("n0", 0, discovery.port(), sockets, connectMicros,
+                list(1, true, "in_service", servers)));
     }
 
     static String json(String quoted) {
-        return quoted.replace('\'', '"');
+        return Configs.json(quoted);
     }
 
     static String list(int revision, boolean all, String state, Stub... servers) {
-        List<String> targets = new ArrayList<>();
-        for (Stub server : servers) {
-            targets.add("{'uid':'s-" + server.port() + "','endpoint':'127.0.0.1:" + server.port()
-                    + "','az':'a','model':'m','pod_group':0,'state':'" + state + "','boot_ms':0}");
-        }
-        return "{'rev':" + revision + ",'all':" + all + ",'targets':[" + String.join(",", targets) + "]}";
+        return Configs.list(revision, all, state, servers);
     }
 
     Config config() throws IOException {
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -100,7 +100,7 @@
         List<String> own = Files.readAllLines(loaded).stream().filter(l -> l.contains(" larkbank.")).toList();
         assertTrue(own.stream().anyMatch(l -> l.contains("larkbank.Choice ")), "the log is not what it was");
         for (String off : List.of("cell", "footprint", "plugin", "lab", "cli", "operators", "route",
-                "websocket")) {
+                "websocket", "membership", "fleet")) {
             assertEquals(List.of(), own.stream().filter(l -> l.contains(" larkbank." + off + "."))
                     .map(l -> l.replaceAll("^\\S*\\s*", "")).toList());
         }
@@ -232,7 +232,7 @@
             Files.writeString(file, operators(server, "attempts = 99\nhegdes = 1\n"));
             ByteArrayOutputStream errors = new ByteArrayOutputStream();
             assertEquals(2, Sidecar.serve(Map.of("LB_CONFIG", harness.file.toString()), file,
-                    new PrintStream(errors, true)));
+                    new PrintStream(errors, true), null));
             assertEquals(file + ":9: 'attempts' is 99; the settings allow 4\n" + file
                     + ":10: unknown key 'hegdes' in [routes.search]; did you mean 'hedges'?\n",
                     errors.toString(StandardCharsets.UTF_8));
