Membership through faults between five processes: pauses, kills, cuts of one way, loss

Need: each promise of membership is to hold between processes of the program, not only in made-up time. Change: process tests on the rig (stopped and killed processes, cuts by pair and direction, 20% loss with doubled, late and flipped datagrams, a second process of one name, 3,000 mutated datagrams, bookings while discovery is dead and half of the processes stand still). In the core, from what a split of 1,000 in made-up time showed: who watches whom stays as it was while members are being put out, since new neighbours count as in touch until they were silent for long; questions and answers go out even where there is no allowance for the news that ride on them; rulings are made at most every other beat.

--- a/src/main/java/larkbank/membership/Membership.java
+++ b/src/main/java/larkbank/membership/Membership.java
@@ -44,6 +44,8 @@
     /** Bytes a second, at most: of questions and answers, and of all else. */
     private static final int ASKING = 64_000;
     private static final int TELLING = 512_000;
+    /** Bytes of a message without anything in it, at most. */
+    private static final int BARE = 100;
     /** Messages in answer to one comparison. */
     private static final int PAGES = 8;
     /** Ends of one ruling that are told one by one; of more the others hear the same reports. */
@@ -87,6 +89,9 @@
     private int sayings;
     private long lastEventAt = Long.MIN_VALUE;
     private long lookAt;
+    private long ruleAt;
+    private long calmAt = Long.MIN_VALUE;
+    private long frozenUntil = Long.MIN_VALUE;
     private long knockAt;
     private long seedAt;
     private long sweepAt;
@@ -221,7 +226,7 @@
             say(now, link.name, link.lost);
         }
         repeat(now);
-        if (rulingOld || verdicts.pending()) {
+        if (rulingOld && now >= ruleAt || now >= verdicts.dueAt()) {
             rule(now);
         }
         targets(now);
@@ -470,27 +475,43 @@
         actions.changed(new Change(kind, name, roster.get(name).incarnation(), cause, live()));
     }
 
-    private Rings rings() {
-        if (rings == null || ringsOf != roster.fingerprint()) {
+    /**
+     * Who watches whom. While members are being put out that stays as it was: new neighbours would be taken
+     * to be in touch until they have been silent for long, so that a cut would be seen part by part.
+     */
+    private Rings rings(long now) {
+        boolean old = rings == null || ringsOf != roster.fingerprint();
+        if (old && (rings == null || now >= calmAt || now >= frozenUntil)) {
             ringsOf = roster.fingerprint();
             rings = cache.of(ringsOf, roster::view);
+            targetsOld = true;
         }
         return rings;
     }
 
+    /** Members are lost now; bounded, so that a cut that comes and goes does not hold up the rest. */
+    private void trouble(long now) {
+        if (now >= calmAt) {
+            frozenUntil = now + 2 * plan.silenceMicros();
+        }
+        calmAt = now + 2 * plan.graceMicros();
+    }
+
     /** Whom this process watches: its neighbours, those that would be, and those found otherwise. */
     private void targets(long now) {
+        Rings around = rings(now);
         if (!targetsOld) {
             return;
         }
         targetsOld = false;
-        Set<String> names = new TreeSet<>(rings().around(self.name()));
+        Set<String> names = new TreeSet<>(around.around(self.name()));
+        names.addAll(found.keySet());
+        names.removeIf(name -> !roster.isIn(name));
         for (String candidate : candidates) {
-            if (rings().around(candidate).contains(self.name())) {
+            if (around.around(candidate).contains(self.name())) {
                 names.add(candidate);
             }
         }
-        found.keySet().stream().filter(roster::isIn).forEach(names::add);
         names.remove(self.name());
         links.watch(now, names);
     }
@@ -544,14 +565,17 @@
 
     private void rule(long now) {
         rulingOld = false;
-        if (reports.none()) {
+        // Words come in showers, and each ruling walks the whole view.
+        ruleAt = now + 2 * plan.beatMicros();
+        if (reports.none() && verdicts.dueAt() == Long.MAX_VALUE) {
             looked = Set.of();
-            if (!verdicts.pending()) {
-                return;
-            }
+            return;
         }
-        Ruling ruling = verdicts.rule(now, rings(), self.name(), roster, reports);
+        Ruling ruling = verdicts.rule(now, rings(now), self.name(), roster, reports);
         looked = ruling.missing();
+        if (!looked.isEmpty() || !ruling.out().isEmpty()) {
+            trouble(now);
+        }
         for (String name : ruling.out()) {
             List<String> by = new ArrayList<>();
             reports.on(name).stream().filter(Report::lost).forEach(r -> by.add(r.reporter()));
@@ -572,16 +596,18 @@
     }
 
     private void send(long now, InetSocketAddress to, Message m) {
-        int bytes = 100 + 3 * m.text().length() + 6 * m.buckets().size();
+        int bare = BARE + 3 * m.text().length() + 6 * m.buckets().size();
+        int load = 0;
         for (Entry e : m.entries()) {
-            bytes += e.size();
+            load += e.size();
         }
         for (Report r : m.reports()) {
-            bytes += r.size();
+            load += r.size();
         }
         boolean asks = m.kind() == Kind.PING || m.kind() == Kind.ACK;
-        if ((asks ? asking : telling).spend(now, bytes)) {
-            actions.send(to, m);
+        if (!asks && telling.spend(now, bare + load) || asks && asking.spend(now, bare)) {
+            // Questions and answers go out even where there is no allowance for what rides on them.
+            actions.send(to, !asks || load == 0 || telling.spend(now, load) ? m : m.bare());
         } else {
             dropped++;
         }
@@ -685,7 +711,7 @@
         if (m.digest() == roster.digest()) {
             agreedAt = now;
         } else if (now >= compareAt && (stranger || agreedAt == Long.MIN_VALUE
-                || now - changedAt > 4 * plan.periodMicros() || now - agreedAt > 8 * plan.periodMicros())) {
+                || now - changedAt > 2 * plan.periodMicros() || now - agreedAt > 8 * plan.periodMicros())) {
             compareAt = now + 2 * plan.beatMicros();
             sendParts(now, m.from(), 1);
         }
--- a/src/main/java/larkbank/membership/Message.java
+++ b/src/main/java/larkbank/membership/Message.java
@@ -28,8 +28,15 @@
         REFUSE
     }
 
+    /** The same without news. */
+    Message bare() {
+        return new Message(kind, from, to, number, digest, List.of(), List.of(), buckets, text);
+    }
+
     /** Bytes of entries and reports that fit beside everything else of a message. */
     static final int ROOM = 1_000;
+    /** The same for what rides on a question or an answer. */
+    static final int RIDE = 400;
     /** The same in a comparison. */
     static final int PARTS = 128;
 }
--- a/src/main/java/larkbank/membership/Verdicts.java
+++ b/src/main/java/larkbank/membership/Verdicts.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,9 +35,16 @@
         this.settleMicros = settleMicros;
     }
 
-    /** Whether time alone may bring another ruling. */
-    boolean pending() {
-        return !doubted.isEmpty() || !missing.isEmpty();
+    /** When time alone may bring another ruling; the largest number for never. */
+    long dueAt() {
+        long first = Long.MAX_VALUE;
+        for (long since : doubted.values()) {
+            first = Math.min(first, since + settleMicros);
+        }
+        for (long since : missing.values()) {
+            first = Math.min(first, since + settleMicros);
+        }
+        return first;
     }
 
     /** Time in which this process slept counts against nobody. */
@@ -53,13 +60,13 @@
         Set<String> looked = new TreeSet<>();
         for (int i = 0; i < rings.size(); i++) {
             String name = rings.name(i);
-            if (name.equals(self)) {
+            if (name.equals(self) || !roster.isIn(name)) {
                 continue;
             }
             int lost = 0;
             boolean vouched = false;
             boolean allThere = true;
-            if (!reached[i] || graph.accused.contains(i)) {
+            if (!reached[i] || graph.isAccused(i)) {
                 for (int neighbour : rings.near(i)) {
                     allThere &= reached[neighbour];
                     lost += reached[neighbour] && graph.says(neighbour, i, true) ? 1 : 0;
@@ -91,15 +98,23 @@
 
     /** Pairs of members in touch: neighbours, and those that have found each other otherwise. */
     private static final class Graph {
+        private static final int[] NOBODY = {};
+
         private final Rings rings;
-        private final Set<Long> cut = new HashSet<>();
-        private final Set<Long> lostBy = new HashSet<>();
-        private final Set<Long> vouchedBy = new HashSet<>();
-        private final Map<Integer, List<Integer>> found = new HashMap<>();
-        private final Set<Integer> accused = new HashSet<>();
+        /** By member, who has lost it, and who says that it is there. */
+        private final int[][] lostBy;
+        private final int[][] vouchedBy;
+        /** Those that are in no view any more, though their neighbours have no others yet. */
+        private final boolean[] gone;
 
         Graph(Rings rings, Roster roster, Reports reports) {
             this.rings = rings;
+            lostBy = new int[rings.size()][];
+            vouchedBy = new int[rings.size()][];
+            gone = new boolean[rings.size()];
+            for (int i = 0; i < gone.length; i++) {
+                gone[i] = !roster.isIn(rings.name(i));
+            }
             for (String name : reports.subjects()) {
                 int on = rings.place(name);
                 Entry entry = roster.get(name);
@@ -109,26 +124,39 @@
                             || r.reporterIncarnation() != roster.get(r.reporter()).incarnation()) {
                         continue;
                     }
-                    if (r.lost()) {
-                        cut.add(pair(by, on));
-                        cut.add(pair(on, by));
-                        lostBy.add(pair(by, on));
-                        accused.add(on);
-                    } else {
-                        vouchedBy.add(pair(by, on));
-                        found.computeIfAbsent(by, n -> new ArrayList<>()).add(on);
-                        found.computeIfAbsent(on, n -> new ArrayList<>()).add(by);
+                    add(r.lost() ? lostBy : vouchedBy, on, by);
+                    if (!r.lost()) {
+                        add(vouchedBy, by, on);
                     }
                 }
             }
         }
 
-        private static long pair(int from, int to) {
-            return (long) from << 32 | to;
+        private static void add(int[][] to, int on, int by) {
+            int[] has = of(to, on);
+            to[on] = Arrays.copyOf(has, has.length + 1);
+            to[on][has.length] = by;
+        }
+
+        private static int[] of(int[][] all, int place) {
+            return all[place] == null ? NOBODY : all[place];
+        }
+
+        private static boolean has(int[][] all, int on, int by) {
+            for (int i : of(all, on)) {
+                if (i == by) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        boolean isAccused(int place) {
+            return lostBy[place] != null;
         }
 
         boolean says(int by, int on, boolean lost) {
-            return (lost ? lostBy : vouchedBy).contains(pair(by, on));
+            return has(lost ? lostBy : vouchedBy, on, by);
         }
 
         boolean[] from(int start) {
@@ -141,7 +169,7 @@
                 for (int other : rings.near(at)) {
                     walk(at, other, reached, next);
                 }
-                for (int other : found.getOrDefault(at, List.of())) {
+                for (int other : of(vouchedBy, at)) {
                     walk(at, other, reached, next);
                 }
             }
@@ -149,7 +177,7 @@
         }
 
         private void walk(int at, int other, boolean[] reached, ArrayDeque<Integer> next) {
-            if (!reached[other] && !cut.contains(pair(at, other))) {
+            if (!reached[other] && !gone[other] && !has(lostBy, other, at) && !has(lostBy, at, other)) {
                 reached[other] = true;
                 next.add(other);
             }
--- a/src/test/java/larkbank/fleet/CrewTest.java
+++ b/src/test/java/larkbank/fleet/CrewTest.java
@@ -3,11 +3,35 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import larkbank.membership.Entry;
+import larkbank.membership.Message;
+import larkbank.membership.Peer;
+import larkbank.membership.Standing;
 import larkbank.testkit.Crew;
+import larkbank.testkit.Relay;
 import larkbank.testkit.Stub;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -25,22 +49,210 @@
     @TempDir
     Path folder;
 
+    private Stub server;
+    private Crew crew;
+
+    @BeforeEach
+    void open() throws Exception {
+        server = new Stub(Stub.serves("ok"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        crew.close();
+        server.close();
+    }
+
+    private void crew(int members) throws Exception {
+        long seed = System.nanoTime();
+        System.out.println("relay seed " + seed);
+        crew = new Crew(folder, seed, members, PAUSE, server);
+        int[] all = IntStream.range(0, members).toArray();
+        for (int i : all) {
+            crew.start(i);
+        }
+        crew.within(STARTED, "all see all", () -> crew.see(members, all));
+    }
+
+    /** What these processes saw of any member's end since then. */
+    private List<Crew.Event> ends(long since, Integer... by) throws Exception {
+        Set<String> names = Set.copyOf(Stream.of(by).map(Crew::name).toList());
+        return crew.history().stream().filter(e -> e.mono() > since && names.contains(e.process())
+                && (e.event().equals("out") || e.event().equals("left"))).toList();
+    }
+
+    private static long mono() {
+        return System.nanoTime() / 1_000;
+    }
+
+    /** Nothing changes for a while, by the program's own times: the one thing that has to be waited for. */
+    private void still() throws Exception {
+        long until = System.nanoTime() + KNOWN * 1_000_000;
+        while (System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
     @Test
     void twoFindEachOtherAndOneThatLeavesIsGoneAtOnce() throws Exception {
-        try (Stub server = new Stub(Stub.serves("ok")); Crew crew = new Crew(folder, 1, 2, PAUSE, server)) {
-            crew.start(0);
-            crew.start(1);
-            crew.within(STARTED, "both see both", () -> crew.see(2, 0, 1));
-            assertEquals("{n0=alive, n1=alive}", crew.members(0).get("members").toString());
-            assertTrue(crew.relay.passed.get() > 0, "they spoke past the relay");
-            crew.within(STARTED, "ready", () -> crew.ask(1, "READY").equals("YES\n"));
-            crew.process(1).destroy();
-            crew.within(PAUSE, "a word of leaving", () -> crew.see(1, 0));
-            assertTrue(crew.process(1).waitFor(20, TimeUnit.SECONDS));
-            assertEquals(0, crew.process(1).exitValue());
-            List<String> seen = crew.history().stream().filter(e -> e.process().equals("n0")
-                    && e.about().equals("n1")).map(Crew.Event::event).toList();
-            assertEquals(List.of("joined", "left"), seen);
+        crew(2);
+        assertEquals("{n0=alive, n1=alive}", crew.members(0).get("members").toString());
+        assertTrue(crew.relay.passed.get() > 0, "they spoke past the relay");
+        crew.within(STARTED, "ready", () -> crew.ask(1, "READY").equals("YES\n"));
+        crew.process(1).destroy();
+        crew.within(PAUSE, "a word of leaving", () -> crew.see(1, 0));
+        assertTrue(crew.process(1).waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, crew.process(1).exitValue());
+        List<String> seen = crew.history().stream().filter(e -> e.process().equals("n0")
+                && e.about().equals("n1")).map(Crew.Event::event).toList();
+        assertEquals(List.of("joined", "left"), seen);
+    }
+
+    /** One after the other, on the same five processes: each ends in a view that all who can talk share. */
+    @Test
+    void fiveThroughPausesKillsCutsAndLoss() throws Exception {
+        crew(5);
+        long begun = mono();
+        crew.signal(2, "STOP");
+        TimeUnit.MILLISECONDS.sleep(PAUSE * 7 / 10);
+        crew.signal(2, "CONT");
+        crew.relay.weather(new Relay.Weather(0.2, 0.1, 0.1, 100, 0.02));
+        still();
+        crew.relay.weather(Relay.Weather.FAIR);
+        assertEquals(List.of(), ends(begun, 0, 1, 2, 3, 4), "a short pause, and loss");
+
+        crew.kill(3);
+        crew.within(KNOWN, "a kill", () -> crew.see(4, 0, 1, 2, 4));
+        crew.start(3);
+        crew.within(STARTED, "the killed one is back", () -> crew.see(5, 0, 1, 2, 3, 4));
+
+        long stopped = mono();
+        crew.signal(4, "STOP");
+        crew.within(KNOWN, "a long pause", () -> crew.see(4, 0, 1, 2, 3));
+        crew.signal(4, "CONT");
+        crew.within(KNOWN, "it comes back by itself", () -> crew.see(5, 0, 1, 2, 3, 4));
+        assertEquals(Set.of("n4"), Set.copyOf(ends(stopped, 0, 1, 2, 3, 4).stream().map(Crew.Event::about)
+                .toList()), "it accuses nobody when it wakes");
+
+        long cut = mono();
+        crew.relay.cut((from, to) -> !(from == 0 && to == 1) && !(from == 3 && to == 2));
+        still();
+        assertEquals(List.of(), ends(cut, 0, 1, 2, 3, 4), "pairs that one way is cut for");
+
+        crew.relay.cut((from, to) -> to != 2);
+        crew.within(KNOWN + PAUSE, "one that hears nobody", () -> crew.see(4, 0, 1, 3, 4) && crew.see(1, 2));
+        long stays = mono();
+        still();
+        assertEquals(List.of(), ends(stays, 0, 1, 2, 3, 4), "the view stays while the cut lasts");
+        crew.relay.cut((from, to) -> true);
+        crew.within(KNOWN, "it is healed", () -> crew.see(5, 0, 1, 2, 3, 4));
+
+        crew.relay.cut((from, to) -> from != 1);
+        crew.within(KNOWN + PAUSE, "one that nobody hears", () -> crew.see(4, 0, 2, 3, 4) && crew.see(1, 1));
+        crew.relay.cut((from, to) -> true);
+        crew.within(KNOWN, "that is healed, too", () -> crew.see(5, 0, 1, 2, 3, 4));
+
+        crew.relay.cut((from, to) -> from < 2 == to < 2);
+        crew.within(KNOWN + PAUSE, "two parts", () -> crew.see(2, 0, 1) && crew.see(3, 2, 3, 4));
+        stays = mono();
+        still();
+        assertEquals(List.of(), ends(stays, 0, 1, 2, 3, 4), "the parts stay");
+        long healed = mono();
+        crew.relay.cut((from, to) -> true);
+        crew.within(KNOWN, "one whole again", () -> crew.see(5, 0, 1, 2, 3, 4));
+        assertEquals(List.of(), ends(healed, 0, 1, 2, 3, 4), "nobody is lost by healing");
+    }
+
+    @Test
+    void theLaterOfTwoWithOneNameIsRefusedAndTheFirstLivesOn() throws Exception {
+        crew(3);
+        crew.kill(2);
+        crew.within(KNOWN, "a kill", () -> crew.see(2, 0, 1));
+        long begun = mono();
+        Process second = crew.start(2, "n1");
+        assertTrue(second.waitFor(30, TimeUnit.SECONDS), "it lives on");
+        assertEquals(2, second.exitValue());
+        String last = Files.readAllLines(crew.log(2)).stream().filter(l -> l.contains("is taken")).findFirst()
+                .orElse("");
+        assertTrue(last.startsWith("larkbank: name 'n1' is taken by the process at 127.0.0.1:"),
+                Files.readString(crew.log(2)));
+        assertTrue(crew.see(2, 0, 1));
+        assertEquals(List.of(), ends(begun, 0, 1));
+    }
+
+    /** The rig itself, and what goes with membership: servers shared, discovery dead, some stand still. */
+    @Test
+    void requestsAreAnsweredOnceWhileDiscoveryDiesAndHalfStandsStill() throws Exception {
+        crew(4);
+        for (int i = 0; i < 4; i++) {
+            int who = i;
+            crew.within(STARTED, "ready", () -> crew.ask(who, "READY").equals("YES\n"));
+        }
+        crew.discovery.close();
+        HttpClient client = HttpClient.newHttpClient();
+        AtomicInteger ids = new AtomicInteger();
+        List<CompletableFuture<Integer>> answers = new ArrayList<>();
+        long begun = System.nanoTime();
+        crew.signal(0, "STOP");
+        crew.signal(1, "STOP");
+        // One after the other at each, as clients do; those that stand still answer when they go on.
+        for (int i = 0; i < 4; i++) {
+            int who = i;
+            answers.add(CompletableFuture.supplyAsync(() -> {
+                int served = 0;
+                while (System.nanoTime() - begun < 2 * PAUSE * 1_000_000) {
+                    HttpRequest book = HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                                    + crew.front(who).getPort() + "/book/k"))
+                            .header("Request-Id", String.format("%016x", ids.incrementAndGet()))
+                            .header("Tenant", "acme").header("Request-Timeout-Ms", "20000")
+                            .POST(HttpRequest.BodyPublishers.ofString("x")).build();
+                    try {
+                        served += client.send(book, HttpResponse.BodyHandlers.ofString()).statusCode() == 200
+                                ? 1 : 0;
+                    } catch (IOException | InterruptedException e) {
+                        throw new AssertionError(e);
+                    }
+                }
+                return served;
+            }));
+        }
+        TimeUnit.MILLISECONDS.sleep(PAUSE * 7 / 10);
+        crew.signal(0, "CONT");
+        crew.signal(1, "CONT");
+        int served = 0;
+        for (CompletableFuture<Integer> a : answers) {
+            int own = a.get(60, TimeUnit.SECONDS);
+            assertTrue(own > 0, "one process served nothing");
+            served += own;
+        }
+        Map<String, Integer> ran = new HashMap<>();
+        server.seen.forEach(s -> ran.merge(s.request().headers().get("Request-Id"), 1, Integer::sum));
+        assertEquals(ids.get(), served, "each booking has the answer of a server");
+        assertEquals(Set.of(1), Set.copyOf(ran.values()), "and ran once");
+        assertTrue(crew.see(4, 0, 1, 2, 3));
+    }
+
+    /** Datagrams that are none, or that were one once, change nothing and are counted. */
+    @Test
+    void mutatedDatagramsChangeNothing() throws Exception {
+        crew(2);
+        long begun = mono();
+        SplittableRandom random = new SplittableRandom(7);
+        Peer peer = new Peer("n1", 1, 1, 99, new InetSocketAddress("127.0.0.1", 9));
+        byte[] good = new Wire("mu").write(new Message(Message.Kind.NEWS, peer, "n0", 1, 2,
+                List.of(new Entry(peer, Standing.LEFT, 3, Map.of("a", "b"), 0)), List.of(), List.of(), ""));
+        for (int i = 0; i < 3_000; i++) {
+            byte[] bytes = Arrays.copyOf(good, 1 + random.nextInt(2 * good.length));
+            for (int flips = 1 + random.nextInt(4); flips > 0; flips--) {
+                bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            crew.relay.inject(0, i % 3 == 0 ? new Wire("other").write(new Message(Message.Kind.NEWS, peer,
+                    "n0", i, 2, List.of(), List.of(), List.of(), "")) : bytes);
         }
+        crew.within(KNOWN, "they are counted", () -> crew.members(0).get("dropped") instanceof Map<?, ?> d
+                && d.get("foreign") instanceof Long foreign && foreign > 500
+                && d.get("torn") instanceof Long torn && torn > 1_000);
+        assertTrue(crew.see(2, 0, 1));
+        assertEquals(List.of(), ends(begun, 0, 1));
     }
 }
