--- a/src/main/java/larkbank/membership/Membership.java
+++ b/src/main/java/larkbank/membership/Membership.java
@@ -74,11 +74,16 @@
     /** Another process has the name; nothing is said or heard any more. */
     private boolean outside;
 
+    /** It was put out, or never let in, and nobody has let it in since: it rules over nobody. */
+    private boolean adrift;
+    private long askingSince;
+
     private record Told(long until, String by) { }
 
     /** Ends told by others, which hold unless the member itself says otherwise by then. */
     private final Map<String, Told> condemned = new TreeMap<>();
-    private final Set<String> candidates = new TreeSet<>();
+    /** Those that ask to be let in, and since when. */
+    private final Map<String, Long> candidates = new TreeMap<>();
     /** Members found while they could not be reached over neighbours, and until when that counts. */
     private final Map<String, Long> found = new HashMap<>();
     private Set<String> looked = Set.of();
@@ -119,6 +124,7 @@
         roster.put(now, new Entry(self, Standing.CANDIDATE, 1, facts, 0), true);
         lastEventAt = now;
         changedAt = now;
+        askingSince = now;
     }
 
     /** Begins with members that are known already, as after a start long ago. */
@@ -128,17 +134,18 @@
         }
         admitted = true;
         targetsOld = true;
+        askingSince = now;
     }
 
     // ---- What is seen
 
     /** Members in the view, this one among them. */
     public int live() {
-        return outside ? 1 : roster.live();
+        return outside || adrift ? 1 : roster.live();
     }
 
     public boolean isIn(String name) {
-        return roster.isIn(name);
+        return name.equals(self.name()) || !outside && !adrift && roster.isIn(name);
     }
 
     public Peer self() {
@@ -164,6 +171,9 @@
     }
 
     private String state(Entry e) {
+        if ((outside || adrift) && !e.name().equals(self.name())) {
+            return "unreachable";
+        }
         if (!roster.isIn(e.name())) {
             return switch (e.standing()) {
                 case LEFT -> "left";
@@ -217,10 +227,19 @@
             return;
         }
         for (String name : List.copyOf(condemned.keySet())) {
-            if (condemned.get(name).until <= now) {
-                end(now, name, "told by " + condemned.get(name).by, Change.Kind.OUT);
+            if (condemned.get(name).until > now) {
+                continue;
+            }
+            String by = condemned.get(name).by;
+            if (roster.get(name).standing() == Standing.CANDIDATE) {
+                // What others know of it stays: it may yet be let in.
+                roster.release(name);
+                gone(now, name, "nobody has let it in again", Change.Kind.OUT);
+            } else {
+                end(now, name, "told by " + by, Change.Kind.OUT);
             }
         }
+        drift(now);
         targets(now);
         for (Link link : links.changed(now)) {
             say(now, link.name, link.lost);
@@ -304,9 +323,10 @@
             }
             if (m.kind() == Kind.ACK && contests.answers(from.name(), m.number())) {
                 Peer newcomer = contests.close(from.name());
-                send(now, newcomer.address(), message(Kind.REFUSE, newcomer.name(), newcomer.life(),
-                        Load.NONE, "name '" + newcomer.name() + "' is taken by the process at "
-                        + text(known.peer()) + ", which answers"));
+                // The newcomer itself, if others have found out meanwhile that the name is free.
+                if (newcomer.life() != from.life()) {
+                    refuse(now, newcomer, known.peer());
+                }
             }
             return true;
         }
@@ -342,11 +362,16 @@
     private void rival(long now, Peer other) {
         Entry own = roster.get(self.name());
         if (admitted || other.incarnation() == self.incarnation() && !own.yieldsTo(other)) {
-            send(now, other.address(), message(Kind.REFUSE, other.name(), other.life(), Load.NONE, "name '"
-                    + other.name() + "' is taken by the process at " + text(self) + ", which answers"));
+            refuse(now, other, self);
         }
     }
 
+    private void refuse(long now, Peer newcomer, Peer holder) {
+        send(now, newcomer.address(), message(Kind.REFUSE, newcomer.name(), newcomer.life(), Load.NONE,
+                "name '" + newcomer.name() + "' is taken by the process at " + text(holder)
+                + ", which answers"));
+    }
+
     private void heedRefusal(Message m) {
         if (m.number() == self.life() && !admitted) {
             outside = true;
@@ -434,10 +459,16 @@
             rulingOld = true;
         }
         if (standing == Standing.CANDIDATE) {
-            candidates.add(name);
+            candidates.putIfAbsent(name, now);
+            if (was) {
+                condemned.put(name, new Told(now + plan.silenceMicros(), from));
+            }
         } else {
             candidates.remove(name);
         }
+        if (standing == Standing.MEMBER) {
+            condemned.remove(name);
+        }
         targetsOld |= was != roster.isIn(name) || standing == Standing.CANDIDATE;
         if (standing == Standing.OUT && was) {
             condemned.putIfAbsent(name, new Told(now + plan.graceMicros(), from));
@@ -507,7 +538,7 @@
         Set<String> names = new TreeSet<>(around.around(self.name()));
         names.addAll(found.keySet());
         names.removeIf(name -> !roster.isIn(name));
-        for (String candidate : candidates) {
+        for (String candidate : candidates.keySet()) {
             if (around.around(candidate).contains(self.name())) {
                 names.add(candidate);
             }
@@ -563,8 +594,27 @@
         }
     }
 
+    /** Whoever was put out has no say on others, lest its loss of touch become theirs through a friend. */
+    private void drift(long now) {
+        boolean asks = roster.get(self.name()).standing() == Standing.CANDIDATE;
+        if (!asks) {
+            askingSince = now;
+        }
+        boolean lost = roster.live() > 1 && now - askingSince > plan.silenceMicros();
+        if (lost != adrift) {
+            adrift = lost;
+            actions.log(lost ? "no member has let this process in; it takes itself to be alone"
+                    : "a member again");
+        }
+    }
+
     private void rule(long now) {
         rulingOld = false;
+        if (roster.get(self.name()).standing() == Standing.CANDIDATE) {
+            looked = Set.of();
+            verdicts.clear();
+            return;
+        }
         // Words come in showers, and each ruling walks the whole view.
         ruleAt = now + 2 * plan.beatMicros();
         if (reports.none() && verdicts.dueAt() == Long.MAX_VALUE) {
@@ -778,6 +828,10 @@
         if (found.values().removeIf(until -> now > until)) {
             targetsOld = true;
         }
-        candidates.removeIf(name -> roster.get(name) == null);
+        for (Map.Entry<String, Long> asking : Map.copyOf(candidates).entrySet()) {
+            if (now - asking.getValue() > Roster.TOLD_MICROS) {
+                end(now, asking.getKey(), "nobody has let it in", Change.Kind.OUT);
+            }
+        }
     }
 }
--- a/src/main/java/larkbank/membership/Verdicts.java
+++ b/src/main/java/larkbank/membership/Verdicts.java
@@ -91,6 +91,11 @@
         return new Ruling(out, looked);
     }
 
+    void clear() {
+        doubted.clear();
+        missing.clear();
+    }
+
     void forget(String name) {
         doubted.remove(name);
         missing.remove(name);
--- /dev/null
+++ b/src/test/java/larkbank/lab/FellowsTest.java
@@ -0,0 +1,30 @@
+package larkbank.lab;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The promises of membership in made-up time, each with a seed that has been played before and a new one. */
+@Timeout(60)
+class FellowsTest {
+
+    static Set<String> checks() {
+        return FellowsChecks.all().keySet();
+    }
+
+    @ParameterizedTest
+    @MethodSource("checks")
+    void holds(String check) {
+        Stream.of(1L, System.nanoTime() & 0xFFFF).forEach(seed -> {
+            try {
+                FellowsChecks.all().get(check).run(seed);
+            } catch (AssertionError e) {
+                fail("seed " + seed + ": " + e.getMessage(), e);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/testkit/Planted.java
@@ -0,0 +1,75 @@
+package larkbank.testkit;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.Assertions;
+
+/**
+ * A package of the program with a fault planted in it: its sources are copied, one text is replaced, and what
+ * is compiled of them goes before the program's own classes.
+ */
+public final class Planted extends ClassLoader {
+
+    private final Path classes;
+    private final Predicate<String> anew;
+
+    /**
+     * @param sources the folder of the package's sources
+     * @param file the one that is changed; the text must be in it, once
+     * @param anew which further classes are loaded anew, so that they use the changed ones
+     */
+    public Planted(Path folder, Path sources, String file, String text, String instead,
+            Predicate<String> anew) throws IOException {
+        super(Planted.class.getClassLoader());
+        this.anew = anew;
+        classes = folder.resolve("classes");
+        Path copies = Files.createDirectories(folder.resolve("sources"));
+        Files.createDirectories(classes);
+        List<String> arguments = new ArrayList<>(List.of("-d", classes.toString(), "-nowarn", "-proc:none",
+                "-cp", System.getProperty("java.class.path")));
+        try (Stream<Path> files = Files.list(sources)) {
+            for (Path source : files.toList()) {
+                String code = Files.readString(source);
+                if (source.getFileName().toString().equals(file)) {
+                    int at = code.indexOf(text);
+                    Assertions.assertTrue(at >= 0 && code.indexOf(text, at + 1) < 0,
+                            "not once in " + file + ": " + text);
+                    code = code.replace(text, instead);
+                }
+                Path copy = copies.resolve(source.getFileName());
+                Files.writeString(copy, code);
+                arguments.add(copy.toString());
+            }
+        }
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        Assertions.assertEquals(0, compiler.run(new ByteArrayInputStream(new byte[0]), null, null,
+                arguments.toArray(new String[0])), "does not compile: " + instead);
+    }
+
+    @Override
+    protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+        synchronized (getClassLoadingLock(name)) {
+            Class<?> loaded = findLoadedClass(name);
+            Path changed = classes.resolve(name.replace('.', '/') + ".class");
+            if (loaded == null && (Files.exists(changed) || anew.test(name))) {
+                try (InputStream in = Files.exists(changed) ? Files.newInputStream(changed)
+                        : getParent().getResourceAsStream(name.replace('.', '/') + ".class")) {
+                    byte[] bytes = in.readAllBytes();
+                    loaded = defineClass(name, bytes, 0, bytes.length);
+                } catch (IOException e) {
+                    throw new ClassNotFoundException(name, e);
+                }
+            }
+            return loaded == null ? super.loadClass(name, resolve) : loaded;
+        }
+    }
+}
