--- a/src/main/java/larkbank/Main.java
+++ b/src/main/java/larkbank/Main.java
@@ -22,7 +22,7 @@
 
     private static int usage() {
         System.err.println(
-                "usage: java -jar larkbank.jar serve|simhost|check|explain|lab|plugin|help [--help]");
+                "usage: java -jar larkbank.jar serve|simhost|check|explain|lab|plugin|members|help [--help]");
         return 2;
     }
 }
--- /dev/null
+++ b/src/main/java/larkbank/cli/MembersCommand.java
@@ -0,0 +1,102 @@
+package larkbank.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import larkbank.Addresses;
+import larkbank.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** {@code members --door ADDRESS}: who is there, as one sidecar sees it. */
+@Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
+        name = "members", description = "Print the members of a fleet as one sidecar sees them: exit status"
+        + " 0, 1 where it can't be asked or takes no part, 2 for a bad command line.")
+final class MembersCommand implements Callable<Integer> {
+
+    private static final int PATIENCE_MILLIS = 2_000;
+
+    @Spec
+    private CommandSpec command;
+
+    @Option(names = "--door", paramLabel = "ADDRESS", required = true,
+            description = "the sidecar's operators' door, address:port")
+    private String door;
+
+    @Option(names = "--watch", description = "print again every second until interrupted")
+    private boolean watch;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        InetSocketAddress address;
+        try {
+            address = Addresses.parse(door);
+        } catch (IllegalArgumentException e) {
+            return say("--door: " + e.getMessage(), CommandLineTool.BAD);
+        }
+        int status = print(address);
+        while (watch) {
+            TimeUnit.SECONDS.sleep(1);
+            status = print(address);
+        }
+        return status;
+    }
+
+    private int say(String why, int status) {
+        command.commandLine().getErr().println("larkbank: " + why);
+        return status;
+    }
+
+    private int print(InetSocketAddress address) {
+        String said;
+        try (Socket socket = new Socket()) {
+            socket.connect(address, PATIENCE_MILLIS);
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.getOutputStream().write("MEMBERS\n".getBytes(StandardCharsets.US_ASCII));
+            said = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return say("the door at " + door + " can't be asked: " + e.getMessage(), 1);
+        }
+        int end = said.indexOf('\n');
+        String first = end < 0 ? said : said.substring(0, end);
+        if (!first.startsWith("{")) {
+            return say("the sidecar at " + door + " says: " + first, 1);
+        }
+        try (JsonParser parser = new JsonFactory().createParser(first)) {
+            table(Json.document(parser));
+            return 0;
+        } catch (IOException e) {
+            return say("the door at " + door + " gave no table: " + e.getMessage(), 1);
+        }
+    }
+
+    private void table(Map<?, ?> m) {
+        PrintWriter out = command.commandLine().getOut();
+        out.println("as " + m.get("self") + " sees it, incarnation " + m.get("incarnation") + ": "
+                + m.get("live") + " live");
+        out.println(row("NAME", "STATE", "INC", "ADDRESS", "FRONT", "SERVES"));
+        Map<?, ?> details = Json.object(m, "details");
+        for (Map.Entry<?, ?> e : Json.object(m, "members").entrySet()) {
+            Map<?, ?> d = Json.object(details, String.valueOf(e.getKey()));
+            out.println(row(e.getKey(), e.getValue(), d.get("incarnation"), d.get("address"), d.get("front"),
+                    d.get("state")));
+        }
+        out.flush();
+    }
+
+    private static String row(Object name, Object state, Object incarnation, Object address, Object front,
+            Object serves) {
+        return String.format(Locale.ROOT, "%-20s %-11s %4s %-21s %-21s %s", name, state, incarnation, address,
+                front == null ? "-" : front, serves == null ? "-" : serves).stripTrailing();
+    }
+}
--- a/src/main/java/larkbank/lab/Fellows.java
+++ b/src/main/java/larkbank/lab/Fellows.java
@@ -32,7 +32,6 @@
         private Membership core;
         /** Why it was refused; null while it was not. */
         private String refused;
-        private long bytes;
 
         Fellow(int place, String name) {
             this.place = place;
@@ -49,6 +48,10 @@
     }
 
     private static final int FIRST_PORT = 1_000;
+    /** Bytes of a message with nothing in it, of an entry and of a report, as they are on the wire. */
+    private static final int BARE = 75;
+    private static final int ENTRY = 75;
+    private static final int REPORT = 20;
 
     public final Datagrams<Message> net;
     public final List<Seen> changes = new ArrayList<>();
@@ -58,6 +61,7 @@
     private final Map<InetSocketAddress, Integer> places = new HashMap<>();
     private final Rings.Cache rings = new Rings.Cache(512);
     private Consumer<Seen> listener = seen -> { };
+    private long bytes;
 
     /** @param seeds how many of the first members are seeds */
     public Fellows(long seed, int members, int seeds, long pauseMicros) {
@@ -99,6 +103,11 @@
         listener = next;
     }
 
+    /** Bytes sent by all so far, about: what a datagram takes on the wire, without its headers. */
+    public long bytes() {
+        return bytes;
+    }
+
     /** Starts a process that knows nothing but the seeds. */
     public Fellow start(int i) {
         Fellow f = fellows.get(i);
@@ -168,6 +177,8 @@
 
         @Override
         public void send(InetSocketAddress to, Message message) {
+            bytes += BARE + (long) ENTRY * message.entries().size()
+                    + (long) REPORT * message.reports().size();
             net.send(fellow.place, places.getOrDefault(to, -1), message);
         }
 
--- a/src/test/java/larkbank/fleet/CrewTest.java
+++ b/src/test/java/larkbank/fleet/CrewTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -23,6 +26,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import larkbank.cli.CommandLineTool;
 import larkbank.membership.Entry;
 import larkbank.membership.Message;
 import larkbank.membership.Peer;
@@ -99,6 +103,10 @@
         assertEquals("{n0=alive, n1=alive}", crew.members(0).get("members").toString());
         assertTrue(crew.relay.passed.get() > 0, "they spoke past the relay");
         crew.within(STARTED, "ready", () -> crew.ask(1, "READY").equals("YES\n"));
+        String table = members("--door", "127.0.0.1:" + crew.door(1));
+        assertTrue(table.startsWith("as n1 sees it, incarnation 1: 2 live\n"), table);
+        assertTrue(table.contains("\nn0                   alive          1 127.0.0.1:" + crew.relay.port(0)),
+                table);
         crew.process(1).destroy();
         crew.within(PAUSE, "a word of leaving", () -> crew.see(1, 0));
         assertTrue(crew.process(1).waitFor(20, TimeUnit.SECONDS));
@@ -108,6 +116,19 @@
         assertEquals(List.of("joined", "left"), seen);
     }
 
+    private static String members(String... args) {
+        PrintStream before = System.out;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        try {
+            String[] all = Stream.concat(Stream.of("members"), Stream.of(args)).toArray(String[]::new);
+            assertEquals(0, CommandLineTool.run(all));
+        } finally {
+            System.setOut(before);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
     /** One after the other, on the same five processes: each ends in a view that all who can talk share. */
     @Test
     void fiveThroughPausesKillsCutsAndLoss() throws Exception {
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -148,7 +148,7 @@
 
     /**
      * Started with SIGHUP ignored, as {@code nohup} does, the runtime never hears of one: classes that came
-     * with it would be 400 for good. The service command takes the signal back, and without it that is told.
+     * with it would be 400 for good. That is told; a start by way of env takes the signal back.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/src/test/java/larkbank/testkit/Crew.java
+++ b/src/test/java/larkbank/testkit/Crew.java
@@ -15,6 +15,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import larkbank.Json;
@@ -57,17 +58,23 @@
             Hand hand = new Hand();
             hand.front = freePort();
             hand.door = freePort();
-            try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-                hand.udp = free.getLocalPort();
-            }
+            hand.udp = freePort();
             hands.add(hand);
         }
         relay = new Relay(seed, hands.stream().map(h -> h.udp).toList());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0)) {
-            return free.getLocalPort();
+    /** One that the system gives to nobody else meanwhile: below those that it hands out for connections. */
+    private static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                    DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+                return Math.min(free.getLocalPort(), datagrams.getLocalPort());
+            } catch (IOException e) {
+                // Somebody has it.
+                continue;
+            }
         }
     }
 
@@ -88,6 +95,10 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), hands.get(i).front);
     }
 
+    public int door(int i) {
+        return hands.get(i).door;
+    }
+
     public Path log(int i) {
         return folder.resolve(name(i) + ".log");
     }
