Parts of what a fleet shares by the word of most electors: a pure core, with what it assumes

Need: shares are to follow the living fleet, and at no moment may all processes together, on all sides of any split, use more than the whole, although views differ.

Change: Elector counts whoever asks for as long as it may rely on that and says nothing after a start until nobody relies on its word of before; Claim works out a process's part from most electors.

Six planted faults found; two that the first walk did not find led to cuts of one elector each and to electors that restart under a cut. Not wired to anything yet.

--- /dev/null
+++ b/src/main/java/larkbank/membership/Claim.java
@@ -0,0 +1,112 @@
+package larkbank.membership;
+
+import java.util.Arrays;
+import larkbank.membership.Elector.Grant;
+
+/**
+ * The part of what all share that one process may use, worked out by itself from the word of most electors.
+ *
+ * <p>A grant counts from when it was asked for, and for the hold. A process claims a part once most electors
+ * have counted it without a gap for the release, and has the floor before and afterwards. So at any moment
+ * any two that claim have been counted by one elector in common before either worked out its part, and each
+ * knows of all others: the parts add up to no more than the whole. What it assumes: clocks whose rates differ
+ * by under a tenth, the same electors everywhere, and that nothing is used without asking for the part at
+ * that moment. What stays open without being used, as a connection does, is bounded only as far as others
+ * close it within the release.
+ */
+public final class Claim {
+
+    /** What claims share; the rest is for all that may be at the floor. */
+    public static final double CLAIMED = 0.95;
+    /** Twice the hold, since the answers of two electors may be a hold apart, and a tenth for clocks. */
+    private static final double RELEASE = 2.2;
+
+    private final long holdMicros;
+    private final long releaseMicros;
+    private final int most;
+    private final long[] askedAt;
+    private final Grant[] grants;
+    /** Since when most electors have counted this process without a gap; the largest number for not now. */
+    private long heldSince = Long.MAX_VALUE;
+
+    /**
+     * @param holdMicros for which a grant counts from when it was asked for
+     * @param most processes that may ever run at once
+     */
+    public Claim(int electors, long holdMicros, int most) {
+        this.holdMicros = holdMicros;
+        this.most = most;
+        releaseMicros = release(holdMicros);
+        askedAt = new long[electors];
+        grants = new Grant[electors];
+        Arrays.fill(askedAt, Long.MIN_VALUE / 2);
+    }
+
+    /** For how long an elector counts a process after its last answer to it. */
+    public static long release(long holdMicros) {
+        return (long) (RELEASE * holdMicros);
+    }
+
+    /** How often to ask, so that an answer may get lost. */
+    public long everyMicros() {
+        return holdMicros / 4;
+    }
+
+    /** An elector has answered what it was asked then. */
+    public void granted(long now, int elector, long asked, Grant grant) {
+        if (asked <= askedAt[elector]) {
+            return;
+        }
+        boolean before = holds(now);
+        askedAt[elector] = asked;
+        grants[elector] = grant;
+        if (!before) {
+            heldSince = holds(now) ? now : Long.MAX_VALUE;
+        }
+    }
+
+    private int fresh(long now) {
+        int fresh = 0;
+        for (long asked : askedAt) {
+            fresh += now - asked < holdMicros ? 1 : 0;
+        }
+        return fresh;
+    }
+
+    private boolean holds(long now) {
+        boolean holds = 2 * fresh(now) > askedAt.length;
+        if (!holds) {
+            heldSince = Long.MAX_VALUE;
+        }
+        return holds;
+    }
+
+    /** Whether it has more than the floor at this moment. */
+    public boolean claims(long now) {
+        return holds(now) && heldSince <= now - releaseMicros;
+    }
+
+    /** Processes to share with. Electors that count others may each know some that the rest do not. */
+    public int count(long now) {
+        int sum = 0;
+        int largest = 0;
+        boolean alike = true;
+        long digest = 0;
+        boolean first = true;
+        for (int i = 0; i < askedAt.length; i++) {
+            if (now - askedAt[i] < holdMicros) {
+                alike &= first || grants[i].digest() == digest;
+                digest = grants[i].digest();
+                first = false;
+                sum += grants[i].count();
+                largest = Math.max(largest, grants[i].count());
+            }
+        }
+        return Math.max(1, alike ? largest : sum);
+    }
+
+    /** The part of the whole, 0 to 1, that this process may use at this moment. */
+    public double part(long now) {
+        return claims(now) ? CLAIMED / count(now) : (1 - CLAIMED) / most;
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/lab/ClaimChecks.java
@@ -0,0 +1,208 @@
+package larkbank.lab;
+
+import java.util.SplittableRandom;
+import larkbank.membership.Claim;
+import larkbank.membership.Elector;
+import larkbank.membership.Elector.Grant;
+
+/** Parts of a whole in small worlds of processes, some of them electors, with faults and uneven clocks. */
+public final class ClaimChecks {
+
+    static final long HOLD = 1_000_000;
+    private static final int MOST = 40;
+    private static final long BEAT = 20_000;
+
+    /** A question or an answer: an elector's where there is a grant. */
+    record Said(int from, long asked, Grant grant) { }
+
+    private static final class World {
+        final Datagrams<Said> net;
+        final SplittableRandom random;
+        final int electors;
+        final One[] all;
+        double worst;
+
+        World(long seed, int members, int electors, double drift) {
+            net = new Datagrams<>(seed);
+            random = new SplittableRandom(~seed);
+            this.electors = electors;
+            all = new One[members];
+            for (int i = 0; i < members; i++) {
+                net.place();
+                // Each clock has an origin and a rate of its own.
+                start(i, 1 + (random.nextInt(3) - 1) * drift);
+            }
+        }
+
+        void start(int i, double rate) {
+            all[i] = new One(this, i, rate, random.nextLong(1_000_000));
+            net.start(i, BEAT, all[i]);
+        }
+
+        /** Plays on, and adds up what all that run may use, at each moment. */
+        void run(long micros) {
+            for (long until = net.now() + micros; net.now() < until;) {
+                net.run(net.now() + BEAT / 4);
+                double sum = 0;
+                for (One one : all) {
+                    sum += net.runs(one.place) && !one.stands ? one.part() : 0;
+                }
+                worst = Math.max(worst, sum);
+            }
+        }
+
+        double least() {
+            double least = 1;
+            for (One one : all) {
+                least = net.runs(one.place) ? Math.min(least, one.part()) : least;
+            }
+            return least;
+        }
+    }
+
+    private static final class One implements Datagrams.Process<Said> {
+        final World world;
+        final int place;
+        final double rate;
+        final String id;
+        final Claim claim;
+        final Elector elector;
+        final long origin;
+        boolean stands;
+        long askAt;
+
+        One(World world, int place, double rate, long origin) {
+            this.world = world;
+            this.place = place;
+            this.rate = rate;
+            this.origin = origin;
+            id = "p" + place + "/" + world.random.nextLong();
+            claim = new Claim(world.electors, HOLD, MOST);
+            elector = place < world.electors ? new Elector(clock(), Claim.release(HOLD), 1_000) : null;
+        }
+
+        long clock() {
+            return origin + (long) (world.net.now() * rate);
+        }
+
+        double part() {
+            return claim.part(clock());
+        }
+
+        @Override
+        public void tick(long now) {
+            if (clock() >= askAt) {
+                askAt = clock() + claim.everyMicros();
+                for (int e = 0; e < world.electors; e++) {
+                    world.net.send(place, e, new Said(place, clock(), null));
+                }
+            }
+        }
+
+        @Override
+        public void receive(long now, Said m) {
+            if (m.grant() != null) {
+                claim.granted(clock(), m.from(), m.asked(), m.grant());
+            } else if (elector != null) {
+                Grant grant = elector.ask(clock(), world.all[m.from()].id);
+                if (grant != null) {
+                    world.net.send(place, m.from(), new Said(place, m.asked(), grant));
+                }
+            }
+        }
+    }
+
+    private ClaimChecks() { }
+
+    private static void hold(boolean holds, String what, long seed) {
+        if (!holds) {
+            throw new AssertionError(what + ", seed " + seed);
+        }
+    }
+
+    /** How it is broken, or null. */
+    public static String broken(long seed) {
+        try {
+            all(seed);
+            return null;
+        } catch (AssertionError e) {
+            return e.toString();
+        }
+    }
+
+    static void all(long seed) {
+        nobodyTakesTooMuch(seed);
+        whatIsLeftIsUsed(seed);
+    }
+
+    /** Faults at random, one after the other and at once; never more than the whole on all sides. */
+    private static void nobodyTakesTooMuch(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int run = 0; run < 25; run++) {
+            int members = 3 + random.nextInt(6);
+            World w = new World(seed * 100 + run, members, random.nextBoolean() ? 3 : 1, 0.04);
+            for (int step = 0; step < 14; step++) {
+                fault(w, random, members);
+                w.run(random.nextLong(4 * HOLD));
+                hold(w.worst <= 1 + 1e-9, "all use " + w.worst + " in run " + run + " step " + step, seed);
+            }
+        }
+    }
+
+    private static void fault(World w, SplittableRandom random, int members) {
+        int one = random.nextInt(members);
+        int other = random.nextInt(members);
+        switch (random.nextInt(12)) {
+            case 0 -> w.net.kill(one);
+            case 1 -> {
+                w.net.stop(one);
+                w.all[one].stands = true;
+            }
+            case 2 -> w.net.cut((from, to) -> from <= one == to <= one);
+            case 3 -> w.net.cut((from, to) -> from != one || to == other);
+            case 4 -> w.net.cut((from, to) -> to != one || from == other);
+            case 5 -> w.net.weather(Datagrams.Weather.losing(0.3));
+            case 7, 8 -> {
+                // Each is cut off from one elector, and not all from the same one.
+                int[] from = random.ints(members, 0, w.electors).toArray();
+                w.net.cut((a, b) -> from[a] != b && from[b] != a);
+            }
+            case 9 -> {
+                // An elector forgets, and somebody can't ask it again.
+                int elector = random.nextInt(w.electors);
+                w.start(elector, w.all[elector].rate);
+                w.net.cut((a, b) -> a != one || b != elector);
+            }
+            case 6 -> w.net.weather(new Datagrams.Weather(0.1, 0.3, 0.5, 3 * HOLD, 200, 50_000));
+            default -> {
+                w.net.cut((from, to) -> true);
+                w.net.weather(Datagrams.Weather.FAIR);
+                for (int i = 0; i < members; i++) {
+                    w.all[i].stands = false;
+                    if (!w.net.runs(i)) {
+                        w.start(i, w.all[i].rate);
+                    } else {
+                        w.net.go(i);
+                    }
+                }
+            }
+        }
+    }
+
+    /** With all in touch each has its equal part; after half has gone the rest has all, within the time. */
+    private static void whatIsLeftIsUsed(long seed) {
+        World w = new World(seed, 8, 3, 0);
+        w.run(3 * Claim.release(HOLD));
+        hold(Math.abs(w.least() - Claim.CLAIMED / 8) < 1e-9, "a part of " + w.least() + " of eight", seed);
+        for (int i = 4; i < 8; i++) {
+            w.net.kill(i);
+        }
+        w.run(Claim.release(HOLD) + HOLD / 2);
+        hold(Math.abs(w.least() - Claim.CLAIMED / 4) < 1e-9, "a part of " + w.least() + " of four", seed);
+        w.net.kill(0);
+        w.net.kill(1);
+        w.run(HOLD + BEAT);
+        hold(w.least() < 0.01, "without most electors a part of " + w.least(), seed);
+        hold(w.worst <= 1 + 1e-9, "all together may use " + w.worst, seed);
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/lab/ClaimTest.java
@@ -0,0 +1,43 @@
+package larkbank.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.stream.LongStream;
+import larkbank.membership.Claim;
+import larkbank.membership.Elector;
+import org.junit.jupiter.api.Test;
+
+class ClaimTest {
+
+    /** Over all schedules that the seeds draw, no moment has more in use than there is. */
+    @Test
+    void allTogetherNeverTakeMoreThanTheWhole() {
+        LongStream.concat(LongStream.rangeClosed(1, 20), LongStream.of(System.nanoTime() & 0xFFFFF))
+                .forEach(seed -> assertNull(ClaimChecks.broken(seed)));
+    }
+
+    @Test
+    void anElectorThatForgotSaysNothingUntilNobodyReliesOnIt() {
+        Elector elector = new Elector(100, 1_000, 2);
+        assertNull(elector.ask(1_099, "a"));
+        assertEquals(1, elector.ask(1_100, "a").count());
+        assertEquals(2, elector.ask(1_200, "b").count());
+        assertNull(elector.ask(1_300, "c"), "more than it keeps");
+        assertNotEquals(elector.ask(1_400, "a").digest(), elector.ask(2_210, "a").digest());
+        assertEquals(1, elector.ask(2_300, "a").count(), "b has been silent for the release");
+    }
+
+    @Test
+    void whatElectorsCountDifferentlyIsAddedUp() {
+        Claim claim = new Claim(3, 1_000, 10);
+        for (long at = 0; at <= 4_000; at += 500) {
+            claim.granted(at, 0, at, new Elector.Grant(4, 77));
+            claim.granted(at, 1, at, new Elector.Grant(4, at < 4_000 ? 77 : 78));
+        }
+        assertEquals(8, claim.count(4_000));
+        assertEquals(Claim.CLAIMED / 8, claim.part(4_000));
+        assertEquals(0.005, claim.part(5_000), 1e-9, "the floor, once most electors are silent");
+    }
+}
--- a/src/test/java/larkbank/lab/PlantedFaultsTest.java
+++ b/src/test/java/larkbank/lab/PlantedFaultsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import java.lang.reflect.Method;
 import java.nio.file.Path;
 import larkbank.testkit.Planted;
 import org.junit.jupiter.api.Test;
@@ -65,6 +66,29 @@
         assertNotNull(found(check, file, text, instead == null ? "" : instead), "not found: " + fault);
     }
 
+    /** Faults in how parts of what all share are worked out; each lets all use more than the whole. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '~', value = {
+        "a part grows at once ~ Claim.java ~ heldSince <= now - releaseMicros ~ heldSince <= now",
+        "electors let go too early ~ Claim.java ~ RELEASE = 2.2; ~ RELEASE = 0.7;",
+        "an elector does not wait after its start ~ Elector.java ~ if (now < silentUntil || ~ if (",
+        "a grant counts for longer than the hold ~ Claim.java ~ now - asked < holdMicros "
+                + "~ now - asked < 3 * holdMicros",
+        "a minority is enough ~ Claim.java ~ 2 * fresh(now) > askedAt.length ~ fresh(now) > 0",
+        "what electors count differently is taken for the same ~ Claim.java ~ alike ? largest : sum "
+                + "~ largest",
+    })
+    void eachIsFoundInParts(String fault, String file, String text, String instead) throws Exception {
+        ClassLoader planted = new Planted(folder, Path.of("src/main/java/larkbank/membership"), file, text,
+                instead == null ? "" : instead, name -> name.startsWith("larkbank.lab."));
+        Method broken = planted.loadClass("larkbank.lab.ClaimChecks").getMethod("broken", long.class);
+        String found = null;
+        for (long seed = 1; seed <= 40 && found == null; seed++) {
+            found = (String) broken.invoke(null, seed);
+        }
+        assertNotNull(found, "not found: " + fault);
+    }
+
     /** The same way without a fault finds none. */
     @Test
     void noneIsFoundWhereThereIsNone() throws Exception {
