--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -178,11 +178,16 @@
             Runtime.getRuntime().addShutdownHook(end);
             AtomicBoolean refused = new AtomicBoolean();
             if (arrangement.membership() != null) {
-                loop.submit(() -> sidecar.join(fellows, arrangement.membership(), others != null, why -> {
-                    refused.set(true);
-                    log.println("larkbank: " + why);
-                    sidecar.stop(ended::countDown);
-                })).get().get();
+                try {
+                    loop.submit(() -> sidecar.join(fellows, arrangement.membership(), others != null, why -> {
+                        refused.set(true);
+                        log.println("larkbank: " + why);
+                        sidecar.stop(ended::countDown);
+                    })).get().get();
+                } catch (ExecutionException e) {
+                    Runtime.getRuntime().removeShutdownHook(end);
+                    throw e;
+                }
             }
             OperatorsDoor door = config.operator() == null ? null
                     : sidecar.openToOperators(config.operator()).get();
--- a/src/test/java/larkbank/fleet/CrewTest.java
+++ b/src/test/java/larkbank/fleet/CrewTest.java
@@ -199,6 +199,13 @@
                 Files.readString(crew.log(2)));
         assertTrue(crew.see(2, 0, 1));
         assertEquals(List.of(), ends(begun, 0, 1));
+        crew.operators(text -> text.replaceFirst("listen = \"[0-9.:]+\"", "listen = \"127.0.0.1:"
+                + crew.socket(0) + "\""));
+        Process taken = crew.start(2);
+        assertTrue(taken.waitFor(30, TimeUnit.SECONDS), "it lives on without a socket");
+        assertEquals(1, taken.exitValue());
+        assertTrue(Files.readString(crew.log(2)).contains("[membership] can't listen on 127.0.0.1:"
+                + crew.socket(0)), Files.readString(crew.log(2)));
     }
 
     /** The rig itself, and what goes with membership: servers shared, discovery dead, some stand still. */
--- a/src/test/java/larkbank/testkit/Crew.java
+++ b/src/test/java/larkbank/testkit/Crew.java
@@ -99,6 +99,11 @@
         return hands.get(i).door;
     }
 
+    /** The port of its own socket for datagrams. */
+    public int socket(int i) {
+        return hands.get(i).udp;
+    }
+
     public Path log(int i) {
         return folder.resolve(name(i) + ".log");
     }
