Times of membership taken over at SIGHUP hold for its ticks and verdicts, too

Cause: read again: the socket went on ticking at the beat of its start and the verdicts waited the grace of their start, while the links had the new times. With a pause cut to a third the old beat reads as sleep at each tick, so nobody would ever be found lost. Change: all three have the new times; a getter that nobody used is gone.

Measured: the promises in made-up time, two process tests and the class list are green.

--- a/src/main/java/larkbank/fleet/FleetSocket.java
+++ b/src/main/java/larkbank/fleet/FleetSocket.java
@@ -40,7 +40,8 @@
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Opening opening;
-    private final MembershipPlan plan;
+    /** As last taken over: its beat is how often the decisions are asked. */
+    private MembershipPlan plan;
     private final Wire wire;
     private final Membership membership;
     private final Map<Wire.Fault, Long> dropped = new EnumMap<>(Wire.Fault.class);
@@ -176,7 +177,8 @@
 
     @Override
     public void retune(MembershipPlan next) {
-        membership.retune(plan.with(next));
+        plan = plan.with(next);
+        membership.retune(plan);
     }
 
     @Override
--- a/src/main/java/larkbank/membership/Membership.java
+++ b/src/main/java/larkbank/membership/Membership.java
@@ -152,10 +152,6 @@
         return self;
     }
 
-    public boolean isAdmitted() {
-        return admitted;
-    }
-
     /** Messages that were not sent since others wanted more than is allowed. */
     public long dropped() {
         return dropped;
@@ -193,6 +189,7 @@
     public void retune(MembershipPlan next) {
         plan = next;
         links.retune(next);
+        verdicts.retune(next.graceMicros());
     }
 
     /** What this process says of itself; the newest holds everywhere. */
--- a/src/main/java/larkbank/membership/Verdicts.java
+++ b/src/main/java/larkbank/membership/Verdicts.java
@@ -25,7 +25,7 @@
     /** What follows from the reports as they are. */
     record Ruling(List<String> out, Set<String> missing) { }
 
-    private final long settleMicros;
+    private long settleMicros;
     /** Since when most of a member's neighbours have lost it; since when it can't be reached. */
     private final Map<String, Long> doubted = new HashMap<>();
     private final Map<String, Long> missing = new TreeMap<>();
@@ -35,6 +35,10 @@
         this.settleMicros = settleMicros;
     }
 
+    void retune(long nextSettleMicros) {
+        settleMicros = nextSettleMicros;
+    }
+
     /** When time alone may bring another ruling; the largest number for never. */
     long dueAt() {
         long first = Long.MAX_VALUE;
