--- a/src/main/java/larkbank/cli/MembersCommand.java
+++ b/src/main/java/larkbank/cli/MembersCommand.java
@@ -84,19 +84,25 @@
         PrintWriter out = command.commandLine().getOut();
         out.println("as " + m.get("self") + " sees it, incarnation " + m.get("incarnation") + ": "
                 + m.get("live") + " live");
-        out.println(row("NAME", "STATE", "INC", "ADDRESS", "FRONT", "SERVES"));
+        if (m.get("share") instanceof Map<?, ?> share) {
+            out.println("it may use " + share.get("part") + " of what all share, "
+                    + (Boolean.TRUE.equals(share.get("claims")) ? "as one of " + share.get("count")
+                    : "the floor: most electors have not counted it for long enough"));
+        }
+        out.println(row("NAME", "STATE", "INC", "ADDRESS", "FRONT", "SERVES", "LOAD"));
         Map<?, ?> details = Json.object(m, "details");
         for (Map.Entry<?, ?> e : Json.object(m, "members").entrySet()) {
             Map<?, ?> d = Json.object(details, String.valueOf(e.getKey()));
             out.println(row(e.getKey(), e.getValue(), d.get("incarnation"), d.get("address"), d.get("front"),
-                    d.get("state")));
+                    d.get("state"), d.get("load")));
         }
         out.flush();
     }
 
     private static String row(Object name, Object state, Object incarnation, Object address, Object front,
-            Object serves) {
-        return String.format(Locale.ROOT, "%-20s %-11s %4s %-21s %-21s %s", name, state, incarnation, address,
-                front == null ? "-" : front, serves == null ? "-" : serves).stripTrailing();
+            Object serves, Object load) {
+        return String.format(Locale.ROOT, "%-20s %-11s %4s %-21s %-21s %-9s %s", name, state, incarnation,
+                address, front == null ? "-" : front, serves == null ? "-" : serves,
+                load == null ? "-" : load).stripTrailing();
     }
 }
--- a/src/main/java/larkbank/fleet/FleetSocket.java
+++ b/src/main/java/larkbank/fleet/FleetSocket.java
@@ -17,18 +17,25 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import larkbank.Addresses;
 import larkbank.membership.Change;
+import larkbank.membership.Lending;
 import larkbank.membership.Membership;
 import larkbank.membership.MembershipPlan;
 import larkbank.membership.Message;
 import larkbank.membership.Peer;
+import larkbank.membership.Portion;
+import larkbank.membership.SharePlan;
+import larkbank.membership.Standing;
 import larkbank.sidecar.Fellowship;
 
 /** The membership of one process on its socket: it brings time and datagrams in and takes them out. */
@@ -36,6 +43,8 @@
 
     /** What the kernel keeps while the loop is busy or the process stands still. */
     private static final int BUFFER = 512 << 10;
+    /** A start waits no longer for others, who may not be there. */
+    private static final long LENT_MILLIS = 1_500;
     private static final long AGAIN_MILLIS = 200;
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -44,6 +53,13 @@
     private MembershipPlan plan;
     private final Wire wire;
     private final Membership membership;
+    /** Null where nothing follows the living. */
+    private Portion portion;
+    private final Lending lending;
+    private boolean seeks;
+    private final CompletableFuture<Void> lent = new CompletableFuture<>();
+    private double toldPart;
+    private int toldCount;
     private final Map<Wire.Fault, Long> dropped = new EnumMap<>(Wire.Fault.class);
     private Channel channel;
     private long sent;
@@ -61,6 +77,51 @@
         long life = ThreadLocalRandom.current().nextLong();
         membership = new Membership(now(), plan, new Peer(opening.name(), life, System.currentTimeMillis(), 1,
                 plan.advertise()), opening.facts(), life, this);
+        portion = portion();
+        lending = new Lending(life, opening.lists().shelf(), this::send, this::borrowed);
+    }
+
+    private void borrowed(Lending.Loan loan) {
+        note("borrowed", loan.from(), loan.revision() + " " + loan.ageMicros());
+        if (!opening.lists().borrowed(loan)) {
+            lending.spoilt(loan.from());
+        }
+    }
+
+    /** Until discovery has told this process something, what others have is asked for. */
+    private void borrow() {
+        if (opening.lists().told()) {
+            if (seeks) {
+                seeks = false;
+                lending.end();
+            }
+            lent.complete(null);
+            return;
+        }
+        if (!seeks) {
+            seeks = true;
+            lending.seek(opening.lists().shelf().known());
+        }
+        lending.tick(now(), membership.self(), this::others);
+        if (lending.settled()) {
+            lent.complete(null);
+        }
+    }
+
+    private List<Peer> others() {
+        List<Peer> others = new ArrayList<>();
+        for (Membership.Seen seen : membership.members().values()) {
+            Peer peer = seen.entry().peer();
+            if (seen.entry().standing() == Standing.MEMBER && !peer.name().equals(opening.name())) {
+                others.add(peer);
+            }
+        }
+        return others;
+    }
+
+    private Portion portion() {
+        return plan.shares() == null ? null : new Portion(now(), plan.shares(), plan.advertise(),
+                ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2), this::send);
     }
 
     /** Opens the socket; where another process has it that is to go, once that one has gone. */
@@ -68,6 +129,7 @@
         CompletableFuture<Fellowship> open = new CompletableFuture<>();
         FleetSocket socket = new FleetSocket(opening);
         socket.bind(open);
+        opening.loop().schedule(() -> socket.lent.complete(null), LENT_MILLIS, TimeUnit.MILLISECONDS);
         return open;
     }
 
@@ -82,7 +144,10 @@
                         tick();
                         open.complete(this);
                     } else if (opening.beside()) {
-                        open.complete(this);
+                        if (open.complete(this)) {
+                            opening.log().accept("membership: waits for " + Addresses.text(plan.listen())
+                                    + ", which another process has");
+                        }
                         opening.loop().schedule(() -> {
                             if (!leaving) {
                                 bind(open);
@@ -105,6 +170,13 @@
             return;
         }
         membership.tick(now());
+        if (portion != null && !leaving) {
+            portion.tick(now(), membership.self());
+            tellPart();
+        }
+        if (!leaving) {
+            borrow();
+        }
         if (leaving && membership.hasLeft()) {
             note("closed", opening.name(), "");
             channel.close();
@@ -113,12 +185,50 @@
         opening.loop().schedule(this::tick, plan.beatMicros(), TimeUnit.MICROSECONDS);
     }
 
+    /** Shrinking is found out here at the latest; whoever uses something asks for itself before that. */
+    private void tellPart() {
+        double part = portion.part(now());
+        int count = portion.count(now());
+        if (part != toldPart || count != toldCount) {
+            toldPart = part;
+            toldCount = count;
+            note("part", opening.name(), part + " " + count);
+            opening.portioned().run();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Void> lent() {
+        return lent;
+    }
+
+    @Override
+    public double part() {
+        return portion == null ? 1 : portion.part(now());
+    }
+
+    @Override
+    public int count() {
+        return portion == null ? 1 : portion.count(now());
+    }
+
+    private void hear(Message message) {
+        if (message.kind().ofLists()) {
+            lending.receive(now(), message, membership.self());
+        } else if (!message.kind().ofShares()) {
+            membership.receive(now(), message);
+        } else if (portion != null && !leaving) {
+            portion.receive(now(), message, membership.self());
+        }
+    }
+
     private final class Ear extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             received++;
             try {
-                membership.receive(now(), wire.read(ByteBufUtil.getBytes(packet.content())));
+                Message message = wire.read(ByteBufUtil.getBytes(packet.content()));
+                hear(message);
             } catch (Wire.Dropped e) {
                 dropped.merge(e.fault(), 1L, Long::sum);
             }
@@ -177,8 +287,13 @@
 
     @Override
     public void retune(MembershipPlan next) {
+        SharePlan before = plan.shares();
         plan = plan.with(next);
         membership.retune(plan);
+        if (!Objects.equals(before, plan.shares())) {
+            // Nothing that other electors, or other times, have said holds for these.
+            portion = portion();
+        }
     }
 
     @Override
@@ -197,6 +312,13 @@
             out.writeStringField("self", membership.self().name());
             out.writeNumberField("incarnation", membership.self().incarnation());
             out.writeNumberField("live", membership.live());
+            if (portion != null) {
+                out.writeObjectFieldStart("share");
+                out.writeBooleanField("claims", portion.claims(now()));
+                out.writeNumberField("part", portion.part(now()));
+                out.writeNumberField("count", portion.count(now()));
+                out.writeEndObject();
+            }
             out.writeObjectFieldStart("members");
             Map<String, Membership.Seen> members = membership.members();
             for (Map.Entry<String, Membership.Seen> m : members.entrySet()) {
--- a/src/main/java/larkbank/fleet/Wire.java
+++ b/src/main/java/larkbank/fleet/Wire.java
@@ -30,7 +30,7 @@
 
     /** Bytes of a datagram, at most. */
     static final int MOST = 1_200;
-    static final int VERSION = 1;
+    static final int VERSION = 2;
     private static final String MAGIC = "lbm";
     private static final int MOST_ITEMS = 256;
     private static final int MOST_FACTS = 8;
@@ -89,6 +89,7 @@
             }
             out.writeEndArray();
             out.writeString(m.text());
+            out.writeBinary(m.load());
             out.writeEndArray();
         } catch (IOException e) {
             throw new UncheckedIOException("memory can't fail", e);
@@ -203,8 +204,10 @@
                 buckets.add(in.getIntValue());
             }
             String text = text();
+            need(in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
+            byte[] load = in.getBinaryValue();
             end();
-            return new Message(kind, from, to, number, digest, entries, reports, buckets, text);
+            return new Message(kind, from, to, number, digest, entries, reports, buckets, text, load);
         }
 
         private Peer peer() throws IOException, Dropped {
--- a/src/main/java/larkbank/footprint/ProbeBudget.java
+++ b/src/main/java/larkbank/footprint/ProbeBudget.java
@@ -8,6 +8,7 @@
 
     private final FleetPlan plan;
     private double tokens;
+    private double lastRate = Double.POSITIVE_INFINITY;
     private long filledAt = Long.MIN_VALUE;
 
     public ProbeBudget(FleetPlan plan) {
@@ -16,7 +17,15 @@
 
     /** Whether a probe may go out now; it is spent then. */
     public boolean spend(long nowMicros, int servers) {
-        double rate = plan.probesPerSecond(servers);
+        return spend(nowMicros, plan.probesPerSecond(servers));
+    }
+
+    /** The same with this part of the whole at this moment. */
+    public boolean spend(long nowMicros, int servers, double part) {
+        return spend(nowMicros, plan.probesPerSecond(servers, part));
+    }
+
+    private boolean spend(long nowMicros, double rate) {
         if (Double.isInfinite(rate)) {
             return true;
         }
@@ -24,7 +33,9 @@
             // All that begin together must not all begin with what they have saved.
             filledAt = nowMicros;
         }
-        tokens = Math.min(SAVED, tokens + Math.max(0, nowMicros - filledAt) * rate / 1e6);
+        // When the rate changed in between is not known: the smaller one is taken for the whole time.
+        tokens = Math.min(SAVED, tokens + Math.max(0, nowMicros - filledAt) * Math.min(rate, lastRate) / 1e6);
+        lastRate = rate;
         filledAt = Math.max(filledAt, nowMicros);
         if (tokens < 1) {
             return false;
--- a/src/main/java/larkbank/membership/Claim.java
+++ b/src/main/java/larkbank/membership/Claim.java
@@ -11,8 +11,8 @@
  * any two that claim have been counted by one elector in common before either worked out its part, and each
  * knows of all others: the parts add up to no more than the whole. What it assumes: clocks whose rates differ
  * by under a tenth, the same electors everywhere, and that nothing is used without asking for the part at
- * that moment. What stays open without being used, as a connection does, is bounded only as far as others
- * close it within the release.
+ * that moment. What stays open at a process that stands still, as a connection does, is bounded as far as
+ * its other end closes it within the linger.
  */
 public final class Claim {
 
@@ -20,6 +20,7 @@
     public static final double CLAIMED = 0.95;
     /** Twice the hold, since the answers of two electors may be a hold apart, and a tenth for clocks. */
     private static final double RELEASE = 2.2;
+    private static final double CLOCKS = 1.1;
 
     private final long holdMicros;
     private final long releaseMicros;
@@ -31,20 +32,51 @@
 
     /**
      * @param holdMicros for which a grant counts from when it was asked for
+     * @param lingerMicros for which what was in use stays so at a process that stands still
      * @param most processes that may ever run at once
      */
-    public Claim(int electors, long holdMicros, int most) {
+    public Claim(int electors, long holdMicros, long lingerMicros, int most) {
         this.holdMicros = holdMicros;
         this.most = most;
-        releaseMicros = release(holdMicros);
+        releaseMicros = release(holdMicros, lingerMicros);
         askedAt = new long[electors];
         grants = new Grant[electors];
         Arrays.fill(askedAt, Long.MIN_VALUE / 2);
     }
 
+    /** The same in all that it has heard, for walks over all that may come next. */
+    public Claim copy() {
+        Claim copy = new Claim(this);
+        System.arraycopy(askedAt, 0, copy.askedAt, 0, askedAt.length);
+        System.arraycopy(grants, 0, copy.grants, 0, grants.length);
+        copy.heldSince = heldSince;
+        return copy;
+    }
+
+    private Claim(Claim other) {
+        holdMicros = other.holdMicros;
+        releaseMicros = other.releaseMicros;
+        most = other.most;
+        askedAt = new long[other.askedAt.length];
+        grants = new Grant[other.grants.length];
+    }
+
+    /** All that decides what it will say from now on, as text: ages, not times. */
+    public String state(long now) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < askedAt.length; i++) {
+            if (now - askedAt[i] < holdMicros) {
+                text.append(now - askedAt[i]).append('=').append(grants[i].count()).append('/')
+                        .append(grants[i].digest());
+            }
+            text.append(' ');
+        }
+        return text.append(holds(now) ? Math.min(releaseMicros, now - heldSince) : -1).toString();
+    }
+
     /** For how long an elector counts a process after its last answer to it. */
-    public static long release(long holdMicros) {
-        return (long) (RELEASE * holdMicros);
+    public static long release(long holdMicros, long lingerMicros) {
+        return (long) (RELEASE * holdMicros + CLOCKS * lingerMicros);
     }
 
     /** How often to ask, so that an answer may get lost. */
--- a/src/main/java/larkbank/membership/Elector.java
+++ b/src/main/java/larkbank/membership/Elector.java
@@ -1,6 +1,7 @@
 package larkbank.membership;
 
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import larkbank.Hashes;
 import larkbank.Ids;
@@ -23,7 +24,9 @@
     private final long releaseMicros;
     private final long silentUntil;
     private final int most;
-    private final Map<String, Long> countedUntil = new HashMap<>();
+    /** In the order of their last questions, which is that of their ends. */
+    private final Map<String, Long> countedUntil = new LinkedHashMap<>();
+    private long digest;
 
     /**
      * @param releaseMicros see {@link Claim#release}
@@ -35,17 +38,50 @@
         silentUntil = now + releaseMicros;
     }
 
+    /** The same in all that it has heard, for walks over all that may come next. */
+    public Elector copy() {
+        Elector copy = new Elector(silentUntil - releaseMicros, releaseMicros, most);
+        copy.countedUntil.putAll(countedUntil);
+        copy.digest = digest;
+        return copy;
+    }
+
+    /** All that decides what it will say from now on, as text: what is left, not times. */
+    public String state(long now) {
+        StringBuilder text = new StringBuilder().append(Math.max(0, silentUntil - now));
+        countedUntil.forEach((process, until) -> {
+            if (until > now) {
+                text.append(' ').append(process).append('=').append(until - now);
+            }
+        });
+        return text.toString();
+    }
+
     /** A process asks; null for no answer. */
     public Grant ask(long now, String process) {
-        countedUntil.values().removeIf(until -> until <= now);
+        forget(now);
         if (now < silentUntil || countedUntil.size() >= most && !countedUntil.containsKey(process)) {
             return null;
         }
-        countedUntil.put(process, now + releaseMicros);
-        long digest = 0;
-        for (String counted : countedUntil.keySet()) {
-            digest ^= Hashes.mix(Ids.of(counted), 0);
+        if (countedUntil.remove(process) == null) {
+            digest ^= mark(process);
         }
+        countedUntil.put(process, now + releaseMicros);
         return new Grant(countedUntil.size(), digest);
     }
+
+    private void forget(long now) {
+        for (Iterator<Map.Entry<String, Long>> all = countedUntil.entrySet().iterator(); all.hasNext();) {
+            Map.Entry<String, Long> first = all.next();
+            if (first.getValue() > now) {
+                return;
+            }
+            digest ^= mark(first.getKey());
+            all.remove();
+        }
+    }
+
+    private static long mark(String process) {
+        return Hashes.mix(Ids.of(process), 0);
+    }
 }
--- a/src/main/java/larkbank/membership/MembershipPlan.java
+++ b/src/main/java/larkbank/membership/MembershipPlan.java
@@ -14,13 +14,27 @@
  * @param periodMicros from one question to a neighbour to the next
  * @param most names that are kept, whatever others send
  * @param record file for what it sees, a line of JSON each; null for none
+ * @param shares how what all share follows the living; null where it does not
  */
 public record MembershipPlan(String cluster, InetSocketAddress listen, InetSocketAddress advertise,
-        List<InetSocketAddress> seeds, long pauseMicros, long periodMicros, int most, String record) {
+        List<InetSocketAddress> seeds, long pauseMicros, long periodMicros, int most, String record,
+        SharePlan shares) {
 
     /** Names that are kept where the file does not say. */
     public static final int MOST = 10_000;
 
+    /** Without anything that follows the living. */
+    public MembershipPlan(String cluster, InetSocketAddress listen, InetSocketAddress advertise,
+            List<InetSocketAddress> seeds, long pauseMicros, long periodMicros, int most, String record) {
+        this(cluster, listen, advertise, seeds, pauseMicros, periodMicros, most, record, null);
+    }
+
+    /** With the seeds as electors; for how long things stay in use at a process that stands still. */
+    public MembershipPlan sharing(int mostProcesses, long lingerMicros) {
+        return new MembershipPlan(cluster, listen, advertise, seeds, pauseMicros, periodMicros, most, record,
+                new SharePlan(seeds, boundMicros(), lingerMicros, mostProcesses));
+    }
+
     /** A period that lets a killed process be known within the pause and two seconds. */
     public static long period(long pauseMicros) {
         return pauseMicros * 2 / 15;
@@ -52,6 +66,6 @@
     /** The same with others for what may change while it runs. */
     public MembershipPlan with(MembershipPlan next) {
         return new MembershipPlan(cluster, listen, advertise, next.seeds, next.pauseMicros,
-                next.periodMicros, next.most, record);
+                next.periodMicros, next.most, record, next.shares);
     }
 }
--- a/src/main/java/larkbank/membership/Message.java
+++ b/src/main/java/larkbank/membership/Message.java
@@ -11,11 +11,20 @@
  * @param digest of all entries that the sender knows
  * @param buckets digests of parts of them; empty but in a comparison
  * @param text why, in a refusal; empty in all else
+ * @param load a page of a list that is lent; empty in all else
  */
 public record Message(Kind kind, Peer from, String to, long number, long digest, List<Entry> entries,
-        List<Report> reports, List<Integer> buckets, String text) {
+        List<Report> reports, List<Integer> buckets, String text, byte[] load) {
 
-    /** What a message is for; all but the last may carry news. */
+    private static final byte[] NO_LOAD = {};
+
+    /** All but a page. */
+    public Message(Kind kind, Peer from, String to, long number, long digest, List<Entry> entries,
+            List<Report> reports, List<Integer> buckets, String text) {
+        this(kind, from, to, number, digest, entries, reports, buckets, text, NO_LOAD);
+    }
+
+    /** What a message is for; the first three and the comparison may carry news. */
     public enum Kind {
         /** A question that wants an answer. */
         PING,
@@ -25,7 +34,25 @@
         /** What the sender knows, by parts; number 1 asks for the same. */
         COMPARE,
         /** The receiver's name is taken. */
-        REFUSE
+        REFUSE,
+        /** A question to an elector: who asks wants to be counted. */
+        COUNT,
+        /** Its answer, with the count in place of digests of parts. */
+        COUNTED,
+        /** A question for a list of servers, or a page of it. */
+        BORROW,
+        /** Its answer. */
+        LEND;
+
+        /** Whether it is about parts of what all share, and not about who is there. */
+        public boolean ofShares() {
+            return this == COUNT || this == COUNTED;
+        }
+
+        /** Whether it is about lists of servers. */
+        public boolean ofLists() {
+            return this == BORROW || this == LEND;
+        }
     }
 
     /** The same without news. */
--- a/src/main/java/larkbank/operators/Checks.java
+++ b/src/main/java/larkbank/operators/Checks.java
@@ -12,6 +12,7 @@
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Group;
 import larkbank.LoadBalancer.RequestClass;
+import larkbank.membership.Claim;
 import larkbank.operators.OperatorsFile.ClassSection;
 import larkbank.operators.OperatorsFile.FleetSection;
 import larkbank.operators.OperatorsFile.ListenerSection;
@@ -30,6 +31,7 @@
 
     /** Descriptors that the process keeps for itself leave room for so many. */
     static final int MOST_LISTENERS = 8;
+    private static final long LONGEST_IDLE_MICROS = 3_600_000_000L;
     private static final PathPattern HEALTH = PathPattern.parse("/healthz");
 
     private final Facts facts;
@@ -369,18 +371,29 @@
 
     private void fleet(FleetSection fleet) {
         int rank = facts.settings().rank();
-        if (rank >= fleet.instances()) {
+        if (fleet.living() && file.membership() == null) {
+            problems.add(fleet.lines().get("instances"), "'instances' is 'members', and there is no"
+                    + " [membership]: nobody would be counted");
+        }
+        if (fleet.living() && fleet.idlePerServer() != null
+                && facts.settings().limits().idleMicros() > LONGEST_IDLE_MICROS) {
+            problems.add(fleet.lines().get("idle_per_server"), "'instances' is 'members', and the settings"
+                    + " say no time, up to an hour, after which servers close idle connections: what a"
+                    + " process that stands still has open would never be anybody else's");
+        }
+        if (!fleet.living() && rank >= fleet.instances()) {
             problems.add(fleet.lines().get("instances"), "'instances' is " + fleet.instances()
                     + ", and the settings say that this is number " + rank + ", counted from 0");
         }
         long most = facts.settings().rules().askEveryMicros();
-        double every = fleet.listRate() == 0 ? 0 : fleet.instances() / fleet.listRate() * 1e6;
+        double every = fleet.listRate() == 0 ? 0 : fleet.instances() / fleet.listRate() * 1e6
+                / (fleet.living() ? Claim.CLAIMED : 1);
         if (most > 0 && every > most) {
             problems.add(fleet.lines().get("list_rate"), "'list_rate' is " + fleet.listRate()
                     + ", so each of "
                     + fleet.instances() + " instances would ask every " + Duration.text((long) every)
                     + "; the settings want it asked every " + Duration.text(most) + ": it must be "
-                    + (long) Math.ceil(fleet.instances() * 1e6 / most) + " or more");
+                    + (long) Math.ceil(fleet.listRate() * every / most) + " or more");
         }
         if (fleet.listRate() > 0 && file.pools().values().stream().allMatch(p -> p.servers() != null)) {
             problems.add(fleet.lines().get("list_rate"), "'list_rate' has no effect: no pool has source"
--- a/src/main/java/larkbank/operators/Explain.java
+++ b/src/main/java/larkbank/operators/Explain.java
@@ -125,7 +125,12 @@
         if (fleet == null) {
             return;
         }
-        line("fleet: number %d of %d instances", fleet.rank(), fleet.instances());
+        if (fleet.living()) {
+            line("fleet: as many instances as live, %d at most; figures are for all of those",
+                    fleet.instances());
+        } else {
+            line("fleet: number %d of %d instances", fleet.rank(), fleet.instances());
+        }
         line("  list             %s", fleet.askEveryMicros() == 0 ? "watched"
                 : "asked once in " + Duration.text(fleet.askEveryMicros()) + ", " + fleet.listRate()
                 + " a second by all");
--- a/src/main/java/larkbank/operators/Operators.java
+++ b/src/main/java/larkbank/operators/Operators.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import larkbank.LoadBalancer.RequestClass;
 import larkbank.footprint.FleetPlan;
+import larkbank.membership.MembershipPlan;
 import larkbank.operators.OperatorsFile.PluginSection;
 import larkbank.operators.OperatorsFile.PoolSection;
 import larkbank.operators.OperatorsFile.RouteSection;
@@ -48,7 +49,7 @@
                 routes.stream().anyMatch(r -> r.target().webSocket() != null),
                 file.plugins().stream().sorted(Comparator.comparingInt(PluginSection::order)
                         .thenComparing(s -> s.plan().name())).map(PluginSection::plan).toList(), fleet(),
-                file.membership() == null ? null : file.membership().plan());
+                membership());
     }
 
     /**
@@ -116,8 +117,19 @@
 
     private FleetPlan fleet() {
         OperatorsFile.FleetSection f = file.fleet();
-        return f == null ? null : new FleetPlan(f.instances(), facts.settings().rank(), f.listRate(),
-                f.idlePerServer() == null ? Integer.MAX_VALUE : f.idlePerServer().intValue(), f.probeRate());
+        return f == null ? null : new FleetPlan(f.instances(), f.living() ? 0 : facts.settings().rank(),
+                f.listRate(), f.idlePerServer() == null ? Integer.MAX_VALUE : f.idlePerServer().intValue(),
+                f.probeRate(), f.living());
+    }
+
+    /** Servers close what has been idle for the site's time, of which the sidecar uses a part only. */
+    private MembershipPlan membership() {
+        if (file.membership() == null) {
+            return null;
+        }
+        MembershipPlan plan = file.membership().plan();
+        return file.fleet() == null || !file.fleet().living() ? plan : plan.sharing(file.fleet().instances(),
+                file.fleet().idlePerServer() == null ? 0 : facts.settings().limits().idleMicros() / 2 * 3);
     }
 
     private List<Listener> listeners() {
--- a/src/main/java/larkbank/operators/OperatorsFile.java
+++ b/src/main/java/larkbank/operators/OperatorsFile.java
@@ -19,8 +19,8 @@
     record PluginSection(int order, PluginPlan plan) { }
 
     /** What all instances share; null where the file does not say; lines by key. */
-    record FleetSection(int line, int instances, double listRate, Long idlePerServer, double probeRate,
-            Map<String, Integer> lines) { }
+    record FleetSection(int line, int instances, boolean living, double listRate, Long idlePerServer,
+            double probeRate, Map<String, Integer> lines) { }
 
     /** How this process takes part among others; null where it does not. */
     record MembershipSection(int line, MembershipPlan plan) { }
--- a/src/main/java/larkbank/operators/OperatorsReader.java
+++ b/src/main/java/larkbank/operators/OperatorsReader.java
@@ -41,6 +41,8 @@
     private static final long MOST_PRIORITY = 1_000;
     private static final long MOST_BYTES = 1L << 40;
     private static final long MOST_TUNNELS = 1_000_000;
+    /** As many instances as live, by [membership]. */
+    private static final String MEMBERS = "members";
     private static final long MOST_INSTANCES = 1_000_000;
     /** What fits into a close frame beside its code (RFC 6455, section 5.5). */
     private static final int MOST_REASON = 123;
@@ -105,8 +107,22 @@
     }
 
     private FleetSection fleet(Section section) {
-        int instances = (int) section.count("instances", 1, MOST_INSTANCES,
-                Math.max(1, facts.settings().replicas()));
+        boolean living = section.says("instances", MEMBERS);
+        Long most = section.count("most", 1, MOST_INSTANCES);
+        if (living && !section.has("most")) {
+            section.problem("instances", "'instances' is '" + MEMBERS + "': 'most' has to say how many"
+                    + " processes may ever run at once");
+        } else if (!living && section.has("most")) {
+            section.problem("most", "'most' has no effect: 'instances' is not '" + MEMBERS + "'");
+        }
+        int instances;
+        if (living) {
+            section.text("instances");
+            instances = most == null ? 1 : most.intValue();
+        } else {
+            instances = (int) section.count("instances", 1, MOST_INSTANCES,
+                    Math.max(1, facts.settings().replicas()));
+        }
         Double listRate = section.number("list_rate", 0.01, 1_000_000);
         Long idle = section.count("idle_per_server", 0, 1_000_000);
         Double probeRate = section.number("probe_rate", 0.001, 1_000_000);
@@ -115,7 +131,7 @@
             lines.put(key, section.has(key) ? section.lineOf(key) : section.line());
         }
         section.rejectUnknown();
-        return new FleetSection(section.line(), instances, listRate == null ? 0 : listRate, idle,
+        return new FleetSection(section.line(), instances, living, listRate == null ? 0 : listRate, idle,
                 probeRate == null ? 0 : probeRate, lines);
     }
 
--- a/src/main/java/larkbank/operators/Section.java
+++ b/src/main/java/larkbank/operators/Section.java
@@ -77,6 +77,11 @@
         return null;
     }
 
+    /** Whether a key has just this text, whatever else it might have. */
+    boolean says(String key, String text) {
+        return text.equals(table.get(List.of(key)));
+    }
+
     String text(String key) {
         return value(key, String.class, "a text");
     }
--- a/src/main/java/larkbank/sidecar/CelledPool.java
+++ b/src/main/java/larkbank/sidecar/CelledPool.java
@@ -70,6 +70,16 @@
         pools.forEach(p -> p.retune(next));
     }
 
+    @Override
+    public void trim() {
+        pools.forEach(Pool::trim);
+    }
+
+    @Override
+    public void among(int instances) {
+        pools.forEach(p -> p.among(instances));
+    }
+
     @Override
     public int listed() {
         return known.size();
--- a/src/main/java/larkbank/sidecar/Cluster.java
+++ b/src/main/java/larkbank/sidecar/Cluster.java
@@ -44,11 +44,17 @@
     /** Other classes and attempts hold for requests that come from now on. */
     void retune(Settings next);
 
+    /** From now on it is one of so many instances. */
+    void among(int instances);
+
     /**
      * Shares servers with other instances, within what these bounds leave to this one; null for no bounds.
      */
     void share(Shares shares);
 
+    /** The bounds leave less than before, perhaps: what is idle beyond them goes at once. */
+    void trim();
+
     /** What one instance may ask of servers that it shares. */
     interface Shares {
         /** Idle connections to so many servers. */
--- a/src/main/java/larkbank/sidecar/Discovery.java
+++ b/src/main/java/larkbank/sidecar/Discovery.java
@@ -112,6 +112,18 @@
         }
     }
 
+    /** What this process has now is not discovery's own: the next answer must be the whole list. */
+    void distrust() {
+        whole = true;
+    }
+
+    /** The pace allows another time by now: what only waits for its time waits for that one. */
+    void repace() {
+        if (pace != null && pause != null && !pause.isDone() && pause.cancel(false)) {
+            begin();
+        }
+    }
+
     /** Begins to watch; while the watch is on there is nothing to ask for. */
     void subscribe() {
         if (!watching) {
--- a/src/main/java/larkbank/sidecar/Fellowship.java
+++ b/src/main/java/larkbank/sidecar/Fellowship.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import larkbank.membership.Lending;
 import larkbank.membership.MembershipPlan;
 
 /** What a sidecar has to do with others of its kind, where the operators' file says so; all on the loop. */
@@ -20,9 +21,26 @@
      *
      * @param beside whether another process may hold the socket for a while yet
      * @param refused told why the process may not take part at all
+     * @param portioned run when the part of what all share is another
+     * @param lists that it lends and borrows
      */
     record Opening(EventLoop loop, String name, MembershipPlan plan, boolean beside,
-            Map<String, String> facts, Consumer<String> log, Consumer<String> refused) { }
+            Map<String, String> facts, Consumer<String> log, Consumer<String> refused,
+            Runnable portioned, Lists lists) { }
+
+    /** Lists of servers that processes lend each other. */
+    interface Lists {
+        Lending.Shelf shelf();
+
+        /** Whether discovery has told this process anything; until then it borrows. */
+        boolean told();
+
+        /** A list that was lent; false where it was none. */
+        boolean borrowed(Lending.Loan loan);
+    }
+
+    /** Done once others have lent their newest list, have none that is newer, or were silent for long. */
+    CompletableFuture<Void> lent();
 
     /** One line of JSON. */
     String members();
@@ -30,6 +48,12 @@
     /** What this process says of itself to the others. */
     void facts(Map<String, String> facts);
 
+    /** This process's part of what all share at this moment, 0 to 1; 1 where nothing follows the living. */
+    double part();
+
+    /** Processes that share; 1 where nothing follows the living. */
+    int count();
+
     /** Other seeds and times hold from now on. */
     void retune(MembershipPlan next);
 
--- a/src/main/java/larkbank/sidecar/InHand.java
+++ b/src/main/java/larkbank/sidecar/InHand.java
@@ -30,6 +30,10 @@
         return true;
     }
 
+    int count() {
+        return calls.size();
+    }
+
     Call get(String id) {
         return calls.get(id);
     }
--- a/src/main/java/larkbank/sidecar/Layout.java
+++ b/src/main/java/larkbank/sidecar/Layout.java
@@ -18,7 +18,16 @@
 
     /** What a layout is made with; the pace is how discovery is asked from then on, null for a watch. */
     record Parts(Config config, Pool.Shared shared, BiFunction<Settings, Actions, LoadBalancer> modules,
-            RequestReader reader, ClientServer clients, Consumer<Discovery.Pace> pace) { }
+            RequestReader reader, ClientServer clients, Consumer<Discovery.Pace> pace, Portion portion) { }
+
+    /** What this process may use of what all share, where that follows the living. */
+    interface Portion {
+        /** At this moment, 0 to 1. */
+        double part();
+
+        /** Processes that share. */
+        int count();
+    }
 
     /** A file that was read and found good, before it holds. */
     interface Change {
@@ -73,6 +82,9 @@
      */
     Change reread(Config next) throws IOException;
 
+    /** This process's part of what all share is another. */
+    default void portioned() { }
+
     /** There are more descriptors now than it was made with. */
     default void widen(Config wider) { }
 
--- a/src/main/java/larkbank/sidecar/ListFeed.java
+++ b/src/main/java/larkbank/sidecar/ListFeed.java
@@ -39,6 +39,11 @@
         });
     }
 
+    /** Whether all that has come is taken over. */
+    boolean settled() {
+        return steps.isEmpty();
+    }
+
     /** Discovery can't be reached. */
     void failed() {
         step(() -> layout.discovered().forEach(Cluster::failed));
--- a/src/main/java/larkbank/sidecar/OperatorsLayout.java
+++ b/src/main/java/larkbank/sidecar/OperatorsLayout.java
@@ -12,12 +12,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadBalancer.Settings;
 import larkbank.footprint.AskPacer;
 import larkbank.footprint.FleetPlan;
+import larkbank.footprint.PartPacer;
 import larkbank.footprint.ProbeBudget;
 import larkbank.membership.MembershipPlan;
 import larkbank.operators.BadFile;
@@ -48,6 +50,8 @@
     private Config config;
     /** At whose pace discovery is asked; null for a watch. */
     private FleetPlan paced;
+    /** Processes that share, as the modules were told; 0 for not yet. */
+    private int counted;
     private OperatorsRouting routing;
     /** Made once a route has WebSockets, and kept from then on. */
     private WebSocketUpgrades upgrades;
@@ -73,7 +77,7 @@
 
     /** What all instances share; a pace that stays the same keeps its place. */
     private void share(FleetPlan fleet) {
-        Cluster.Shares shares = fleet == null ? null : new Part(fleet);
+        Cluster.Shares shares = fleet == null ? null : new Part(fleet, parts.portion());
         pools.values().forEach(m -> m.cluster().share(shares));
         if (fleet == null || fleet.askEveryMicros() == 0) {
             if (paced != null) {
@@ -82,39 +86,80 @@
             paced = null;
         } else if (!fleet.equals(paced)) {
             paced = fleet;
-            AskPacer pacer = new AskPacer(fleet);
-            parts.pace().accept(new Discovery.Pace() {
-                @Override
-                public long next(long nowMicros) {
-                    return pacer.next(nowMicros);
-                }
+            parts.pace().accept(fleet.living() ? livingPace(fleet) : fixedPace(fleet));
+        }
+    }
 
-                @Override
-                public long patienceMicros() {
-                    return pacer.patienceMicros();
-                }
-            });
+    private static Discovery.Pace fixedPace(FleetPlan fleet) {
+        AskPacer pacer = new AskPacer(fleet);
+        return new Discovery.Pace() {
+            @Override
+            public long next(long nowMicros) {
+                return pacer.next(nowMicros);
+            }
+
+            @Override
+            public long patienceMicros() {
+                return pacer.patienceMicros();
+            }
+        };
+    }
+
+    private Discovery.Pace livingPace(FleetPlan fleet) {
+        PartPacer pacer = new PartPacer(fleet.listRate(), ThreadLocalRandom.current().nextDouble());
+        Portion portion = parts.portion();
+        return new Discovery.Pace() {
+            @Override
+            public long next(long nowMicros) {
+                return pacer.next(nowMicros, portion.part());
+            }
+
+            @Override
+            public long patienceMicros() {
+                return pacer.patienceMicros();
+            }
+        };
+    }
+
+    /** Bounds that shrink act at once on what is idle already; uses ask for themselves. */
+    @Override
+    public void portioned() {
+        if (plan.fleet() == null || !plan.fleet().living()) {
+            return;
+        }
+        pools.values().forEach(m -> m.cluster().trim());
+        if (parts.portion().count() != counted) {
+            counted = parts.portion().count();
+            pools.values().forEach(m -> m.cluster().among(counted));
         }
     }
 
+    private int instances(FleetPlan fleet) {
+        return fleet.living() && counted > 0 ? counted : fleet.instances();
+    }
+
     /** This instance's part of what all may do. */
     private static final class Part implements Cluster.Shares {
         private final FleetPlan fleet;
         private final ProbeBudget probes;
 
-        Part(FleetPlan fleet) {
+        private final Portion portion;
+
+        Part(FleetPlan fleet, Portion portion) {
             this.fleet = fleet;
+            this.portion = portion;
             probes = new ProbeBudget(fleet);
         }
 
         @Override
         public int idle(int servers) {
-            return fleet.idle(servers);
+            return fleet.living() ? fleet.idle(servers, portion.part()) : fleet.idle(servers);
         }
 
         @Override
         public boolean probe(long nowMicros, int servers) {
-            return probes.spend(nowMicros, servers);
+            return fleet.living() ? probes.spend(nowMicros, servers, portion.part())
+                    : probes.spend(nowMicros, servers);
         }
     }
 
@@ -142,7 +187,7 @@
 
     private Pool pool(PoolPlan p) {
         FleetPlan fleet = plan.fleet();
-        Settings known = fleet == null ? config.settings() : config.settings().among(fleet.instances());
+        Settings known = fleet == null ? config.settings() : config.settings().among(instances(fleet));
         Settings settings = known.with(
                 config.settings().limits().with(p.requests(), p.queue(), p.connections()),
                 p.discovered() && config.settings().discoveryOnAsk());
--- a/src/main/java/larkbank/sidecar/Pool.java
+++ b/src/main/java/larkbank/sidecar/Pool.java
@@ -210,6 +210,18 @@
         tell(null, now -> module.retune(now, told));
     }
 
+    @Override
+    public void trim() {
+        servers.trim();
+    }
+
+    @Override
+    public void among(int instances) {
+        settings = settings.among(instances);
+        Settings told = settings;
+        tell(null, now -> module.retune(now, told));
+    }
+
     @Override
     public void share(Shares shares) {
         servers.keep(shares == null ? null : shares::idle);
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -226,6 +226,11 @@
         closeSurplus();
     }
 
+    /** The bound on idle connections may be another. */
+    void trim() {
+        closeSurplus();
+    }
+
     /** What is idle for the longest goes first. */
     private void closeSurplus() {
         while (mostIdle != null && idleOrder.size() > mostIdle.applyAsInt(nodes.size())) {
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -40,6 +40,7 @@
 import larkbank.daily.Desk;
 import larkbank.daily.Figures;
 import larkbank.daily.Standing;
+import larkbank.membership.Lending;
 import larkbank.membership.MembershipPlan;
 import larkbank.plugin.RequestView;
 import larkbank.websocket.Handshake;
@@ -57,6 +58,9 @@
     private static final long RELOAD_SECONDS = 30;
 
     private final EventLoop loop;
+    private static final int LOAD_PARTS = 4;
+    private static final int LOAD_SECONDS = 10;
+
     private final PrintStream log;
     private final Clock clock = new Clock();
     /** Requests that plug-ins are asked about. */
@@ -73,6 +77,18 @@
     private final Desk desk;
     /** Null where it takes no part among others. */
     private Fellowship fellowship;
+    private Lists lending;
+    private final Layout.Portion portion = new Layout.Portion() {
+        @Override
+        public double part() {
+            return fellowship == null ? 0 : fellowship.part();
+        }
+
+        @Override
+        public int count() {
+            return fellowship == null ? 1 : fellowship.count();
+        }
+    };
     private InetSocketAddress front;
     private final long startedMillis = System.currentTimeMillis();
 
@@ -106,7 +122,7 @@
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
         var shared = new Pool.Shared(loop, clock, inHand, discovery::subscribe, this::log);
         layout = layouts.of(new Layout.Parts(config, shared, modules, reader, clients,
-                pace -> discovery.pace(clock, pace)));
+                pace -> discovery.pace(clock, pace), portion));
         feed = new ListFeed(loop, layout);
         inHand.figures().show(names(config));
         desk = new Desk(standing, inHand.figures(), new Fleet(), layout::ready);
@@ -169,6 +185,7 @@
                 log.println("larkbank: SIGHUP is ignored by what started this process, and so by it: files"
                         + " are not read again; 'env --default-signal=HUP COMMAND' undoes that");
             }
+            boolean promised = inherited != null;
             Thread end = new Thread(() -> {
                 loop.execute(() -> sidecar.stop(ended::countDown));
                 awaitQuietly(ended);
@@ -179,7 +196,7 @@
             AtomicBoolean refused = new AtomicBoolean();
             if (arrangement.membership() != null) {
                 try {
-                    loop.submit(() -> sidecar.join(fellows, arrangement.membership(), others != null, why -> {
+                    loop.submit(() -> sidecar.join(fellows, arrangement.membership(), promised, why -> {
                         refused.set(true);
                         log.println("larkbank: " + why);
                         sidecar.stop(ended::countDown);
@@ -289,25 +306,100 @@
     private CompletableFuture<Void> join(Fellowship.Maker fellows, MembershipPlan plan, boolean beside,
             Consumer<String> refused) {
         front = config.listen();
+        lending = new Lists();
         return fellows.open(new Fellowship.Opening(loop, config.name(), plan, beside, facts(), this::log,
-                refused)).thenAccept(joined -> {
+                refused, this::portioned, lending)).thenAccept(joined -> {
                     fellowship = joined;
+                    portioned();
+                    loop.scheduleWithFixedDelay(() -> joined.facts(facts()), LOAD_SECONDS, LOAD_SECONDS,
+                            TimeUnit.SECONDS);
                     desk.tell(joined::members);
                 });
     }
 
+    /** Lists of other sidecars: in place of discovery until that has told this one something itself. */
+    private final class Lists implements Fellowship.Lists {
+        private final ListShelf shelf;
+        private boolean told;
+        /** Has come before the modules had any list. */
+        private ServerList waiting;
+        private boolean open;
+
+        Lists() {
+            shelf = new ListShelf(clock, config.lists(), config.known().revision(), () -> layout.discovered()
+                    .stream().findFirst().map(Cluster::list).orElse(config.known()),
+                    () -> open && feed.settled());
+        }
+
+        void open() {
+            open = true;
+            if (waiting != null) {
+                feed.take(waiting);
+            }
+            waiting = null;
+        }
+
+        void told(long revision) {
+            told = true;
+            shelf.told(revision, 0);
+        }
+
+        @Override
+        public Lending.Shelf shelf() {
+            return shelf;
+        }
+
+        @Override
+        public boolean told() {
+            return told || layout.discovered().isEmpty();
+        }
+
+        @Override
+        public boolean borrowed(Lending.Loan loan) {
+            try {
+                ServerList list = shelf.read(loan);
+                log(String.format(Locale.ROOT, "discovery is silent: list of revision %d from %s, %.1f s old,"
+                        + " %d servers", loan.revision(), loan.from(), loan.ageMicros() / 1e6,
+                        list.entries().size()));
+                shelf.told(loan.revision(), loan.ageMicros());
+                discovery.distrust();
+                if (open) {
+                    feed.take(list);
+                } else {
+                    waiting = list;
+                }
+                return true;
+            } catch (IOException e) {
+                log("the list that " + loan.from() + " lent is none: " + e.getMessage());
+                return false;
+            }
+        }
+    }
+
+    private void portioned() {
+        layout.portioned();
+        discovery.repace();
+    }
+
     /** What the others hear of this process. */
     private Map<String, String> facts() {
         Map<String, String> facts = new TreeMap<>();
         facts.put("front", Addresses.text(front));
         facts.put("state", standing.state().name().toLowerCase(Locale.ROOT));
         facts.put("start", String.valueOf(startedMillis));
+        // In quarters and seldom: each change is news to the whole fleet.
+        int quarters = Math.min(LOAD_PARTS, LOAD_PARTS * inHand.count()
+                / Math.max(1, config.settings().limits().open()));
+        facts.put("load", quarters * 100 / LOAD_PARTS + "%");
         return facts;
     }
 
     /** Hands the modules their first lists. */
     void open() {
         layout.open();
+        if (lending != null) {
+            lending.open();
+        }
     }
 
     /** Opens the operators' door, which tells how things stand also while nothing else is open. */
@@ -370,7 +462,10 @@
 
     /** Hands out the first lists and opens the doors; gives an address once clients can connect. */
     CompletableFuture<InetSocketAddress> start() {
-        return CompletableFuture.supplyAsync(() -> {
+        // Nothing goes by an old list to a server that others know is gone.
+        CompletableFuture<Void> lists = fellowship == null ? CompletableFuture.completedFuture(null)
+                : fellowship.lent();
+        return lists.thenApplyAsync(v -> {
             open();
             if (!config.settings().discoveryOnAsk() && !layout.discovered().isEmpty()) {
                 // Pushed lists wait at an agent, which answers a watch; the module asks for nothing then.
@@ -430,6 +525,9 @@
 
     @Override
     public void listed(ServerList list) {
+        if (lending != null) {
+            lending.told(list.revision());
+        }
         feed.take(list);
     }
 
--- a/src/test/java/larkbank/fleet/CrewTest.java
+++ b/src/test/java/larkbank/fleet/CrewTest.java
@@ -32,6 +32,8 @@
 import larkbank.membership.Peer;
 import larkbank.membership.Standing;
 import larkbank.testkit.Crew;
+import larkbank.testkit.FaultPlan;
+import larkbank.testkit.Platform;
 import larkbank.testkit.Relay;
 import larkbank.testkit.Stub;
 import org.junit.jupiter.api.AfterEach;
@@ -183,6 +185,76 @@
         crew.relay.cut((from, to) -> true);
         crew.within(KNOWN, "one whole again", () -> crew.see(5, 0, 1, 2, 3, 4));
         assertEquals(List.of(), ends(healed, 0, 1, 2, 3, 4), "nobody is lost by healing");
+
+        crew.relay.cut((from, to) -> from / 2 == to / 2);
+        crew.within(KNOWN + PAUSE, "three parts", () -> crew.see(2, 0, 1, 2, 3) && crew.see(1, 4));
+        healed = mono();
+        crew.relay.cut((from, to) -> true);
+        crew.within(KNOWN, "one whole once more", () -> crew.see(5, 0, 1, 2, 3, 4));
+        assertEquals(List.of(), ends(healed, 0, 1, 2, 3, 4), "nobody is lost by healing");
+    }
+
+    /** Faults that nobody has chosen; the seed that they are drawn from is printed. */
+    @Test
+    void faultsDrawnFromASeedEndInOneView() throws Exception {
+        crew(5);
+        long seed = System.nanoTime();
+        System.out.println("fault plan seed " + seed);
+        FaultPlan plan = new FaultPlan(crew, PAUSE);
+        for (FaultPlan.Step step : FaultPlan.draw(seed, 5, 4, PAUSE)) {
+            plan.play(step);
+        }
+    }
+
+    /** Another pause holds from SIGHUP on, also for how late a verdict comes. */
+    @Test
+    void anotherPauseIsTakenOverWithoutLeaving() throws Exception {
+        crew(3);
+        crew.operators(text -> text.replace("pause = \"" + PAUSE, "pause = \"" + 4 * PAUSE));
+        for (int i = 0; i < 3; i++) {
+            int who = i;
+            crew.within(STARTED, "ready", () -> crew.ask(who, "READY").equals("YES\n"));
+            crew.rewrite(i);
+            crew.signal(i, "HUP");
+            crew.within(STARTED, "read again", () -> crew.ask(who, "STATS").contains("\"reconfig_ok\":1"));
+        }
+        long begun = mono();
+        crew.signal(2, "STOP");
+        // Every bound of the old pause is over by then, and the new pause is not.
+        TimeUnit.MILLISECONDS.sleep(PAUSE * 3);
+        crew.signal(2, "CONT");
+        still();
+        assertEquals(List.of(), ends(begun, 0, 1, 2));
+        assertTrue(crew.see(3, 0, 1, 2));
+        crew.kill(2);
+        long took = crew.within(4 * KNOWN, "a kill", () -> crew.see(2, 0, 1));
+        assertTrue(took > 3 * PAUSE, "known after " + took + " ms, within the new pause");
+    }
+
+    /** A process that takes the clients' socket over from another of its name is the same member. */
+    @Test
+    void oneThatFollowsAnotherOnItsSocketTakesItsPlaceAmongTheMembers() throws Exception {
+        crew = new Crew(folder, System.nanoTime(), 3, PAUSE, server);
+        try (Platform platform = new Platform()) {
+            crew.start(0);
+            crew.start(1);
+            long first = crew.startOn(platform, 2);
+            crew.within(STARTED, "all see all", () -> crew.see(3, 0, 1, 2));
+            crew.within(STARTED, "the first is ready", () -> crew.ask(2, "READY").equals("YES\n"));
+            int before = crew.door(2);
+            long second = crew.startOn(platform, 2);
+            assertTrue(crew.door(2) != before);
+            crew.within(STARTED, "the second is ready", () -> crew.ask(2, "READY").equals("YES\n"));
+            assertTrue(crew.see(3, 0, 1), "both run, and one has the name");
+            long begun = mono();
+            new ProcessBuilder("kill", "-TERM", String.valueOf(first)).start().waitFor();
+            assertEquals(0, platform.awaitEnd(first));
+            crew.within(KNOWN, "the second has its place", () -> crew.see(3, 0, 1, 2));
+            assertEquals(Set.of("n2 left"), Set.copyOf(ends(begun, 0, 1).stream().map(e -> e.about() + " "
+                    + e.event()).toList()));
+            new ProcessBuilder("kill", "-TERM", String.valueOf(second)).start().waitFor();
+            assertEquals(0, platform.awaitEnd(second));
+        }
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/larkbank/fleet/LentListTest.java
@@ -0,0 +1,89 @@
+package larkbank.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import larkbank.testkit.Configs;
+import larkbank.testkit.Crew;
+import larkbank.testkit.Stub;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A process that starts while discovery is dead. */
+@Timeout(120)
+class LentListTest {
+
+    @TempDir
+    Path folder;
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private int ids;
+
+    private int ask(Crew crew, int i) throws Exception {
+        return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + crew.front(i).getPort()
+                + "/search/k")).header("Tenant", "acme").header("Request-Id", String.format("%016x", ++ids))
+                .header("Request-Timeout-Ms", "3000").build(), HttpResponse.BodyHandlers.ofString())
+                .statusCode();
+    }
+
+    private static void ready(Crew crew, int i) throws Exception {
+        crew.within(15_000, "ready", () -> crew.ask(i, "READY").equals("YES\n"));
+    }
+
+    /** Its own configuration names servers that are long gone, or drain; others know the one that serves. */
+    @Test
+    void whoeverStartsWhileDiscoveryIsDeadTakesTheNewestListOfTheOthers() throws Exception {
+        try (Stub gone = new Stub(Stub.serves("gone")); Stub drains = new Stub(Stub.serves("drains"));
+                Stub serves = new Stub(Stub.serves("serves"));
+                Crew crew = new Crew(folder, 1, 3, 1_000, gone, drains)) {
+            String old = Configs.json(Configs.list(4, true, "in_service", gone, drains));
+            String list = Configs.json(Configs.list(7, true, "in_service", serves).replace("'targets':[",
+                    "'targets':[{'uid':'s-" + drains.port() + "','endpoint':'127.0.0.1:" + drains.port()
+                    + "','az':'a','model':'m','pod_group':0,'state':'terminating','boot_ms':0},"));
+            String[] told = {old};
+            crew.discovery.script(seen -> {
+                String now = told[0];
+                if (!now.equals(old) && seen.request().first().contains("from=7")) {
+                    return;
+                }
+                seen.reply("200 OK", "", now);
+            });
+            // The first hears of the older list only, the second of the newer one, too.
+            crew.start(0);
+            ready(crew, 0);
+            crew.within(5_000, "the older list", () -> crew.discovery.seen.size() >= 2);
+            crew.signal(0, "STOP");
+            for (Stub.Seen seen : crew.discovery.seen) {
+                seen.socket().close();
+            }
+            told[0] = list;
+            crew.start(1);
+            ready(crew, 1);
+            crew.within(5_000, "the newer list", () -> ask(crew, 1) == 200 && !serves.seen.isEmpty());
+            crew.discovery.close();
+            crew.signal(0, "CONT");
+            crew.within(5_000, "both are there", () -> crew.see(2, 0, 1));
+            int before = gone.seen.size() + drains.seen.size();
+            int served = serves.seen.size();
+
+            crew.start(2);
+            ready(crew, 2);
+            for (int i = 0; i < 50; i++) {
+                assertEquals(200, ask(crew, 2));
+            }
+            assertEquals(before, gone.seen.size() + drains.seen.size(), "of those that it must not use");
+            assertEquals(served + 50, serves.seen.size());
+            Crew.Event loan = crew.history().stream().filter(e -> e.process().equals("n2")
+                    && e.event().equals("borrowed")).findFirst().orElseThrow();
+            assertEquals("n1", loan.about());
+            assertTrue(loan.text().startsWith("7 "), loan.text());
+            assertTrue(crew.logs().contains("discovery is silent: list of revision 7 from n1"), crew.logs());
+        }
+    }
+}
--- a/src/test/java/larkbank/footprint/FootprintTest.java
+++ b/src/test/java/larkbank/footprint/FootprintTest.java
@@ -1,6 +1,7 @@
 package larkbank.footprint;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -143,4 +144,46 @@
         }
         assertEquals((int) ProbeBudget.SAVED, burst);
     }
+
+    @Test
+    void callsThatFollowAPartKeepTheRateWhateverThePartDoes() {
+        SplittableRandom random = new SplittableRandom(17);
+        int instances = 40;
+        double rate = 20;
+        List<Long> calls = new ArrayList<>();
+        for (int i = 0; i < instances; i++) {
+            PartPacer pacer = new PartPacer(rate, random.nextDouble());
+            long due = pacer.next(0, 1.0 / instances);
+            // The part shrinks and grows back again and again, for all at once, and each is told anew.
+            for (long now = 0; now < 200 * SECOND; now += 10_000) {
+                if (now % (10 * SECOND) == 0) {
+                    due = pacer.next(now, (now / (10 * SECOND) % 2 == 0 ? 1.0 : 0.25) / instances);
+                } else if (due <= now) {
+                    calls.add(now);
+                    due = pacer.next(now, (now / (10 * SECOND) % 2 == 0 ? 1.0 : 0.25) / instances);
+                }
+            }
+        }
+        calls.sort(null);
+        for (int from = 0; from < calls.size(); from += 7) {
+            for (int to = from; to < calls.size(); to += 7) {
+                double allowed = rate * (calls.get(to) - calls.get(from) + 10_000) / 1e6 + instances;
+                assertTrue(to - from + 1 <= allowed, (to - from + 1) + " calls, " + allowed + " allowed");
+            }
+        }
+        assertTrue(calls.size() > 0.9 * 200 * rate * 0.625, "calls: " + calls.size());
+    }
+
+    @Test
+    void partsOfIdleConnectionsAndProbesAreRoundedDownAndNotSavedUp() {
+        FleetPlan plan = new FleetPlan(5, 0, 0, 15, 2, true);
+        assertEquals(19, plan.idle(4, 0.95 / 3));
+        assertEquals(57, plan.idle(4, 0.95));
+        assertEquals(0, plan.idle(4, 0.01));
+        assertEquals(Integer.MAX_VALUE, new FleetPlan(5, 0, 0, Integer.MAX_VALUE, 0, true).idle(4, 0.01));
+        ProbeBudget budget = new ProbeBudget(plan);
+        budget.spend(0, 4, 0.001);
+        assertFalse(budget.spend(10 * SECOND, 4, 1), "ten seconds at the floor are none at the whole rate");
+        assertTrue(budget.spend(11 * SECOND, 4, 1));
+    }
 }
--- a/src/test/java/larkbank/lab/PlantedFaultsTest.java
+++ b/src/test/java/larkbank/lab/PlantedFaultsTest.java
@@ -74,6 +74,7 @@
         "an elector does not wait after its start ~ Elector.java ~ if (now < silentUntil || ~ if (",
         "a grant counts for longer than the hold ~ Claim.java ~ now - asked < holdMicros "
                 + "~ now - asked < 3 * holdMicros",
+        "what a stopped process has open is forgotten ~ Claim.java ~ + CLOCKS * lingerMicros ~ + 0",
         "a minority is enough ~ Claim.java ~ 2 * fresh(now) > askedAt.length ~ fresh(now) > 0",
         "what electors count differently is taken for the same ~ Claim.java ~ alike ? largest : sum "
                 + "~ largest",
--- /dev/null
+++ b/src/test/java/larkbank/testkit/FaultPlan.java
@@ -0,0 +1,165 @@
+package larkbank.testkit;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Assertions;
+
+/**
+ * Faults between the processes of a crew, drawn from a seed and played one after the other; behind each all
+ * must see all again. What must not change anybody's view is held to that by the processes' own records.
+ */
+public final class FaultPlan {
+
+    /** What is done, to whom. */
+    public enum Kind {
+        SHORT_STOP, LONG_STOP, KILL, ONE_WAY, PAIR, MUTE, DEAF, SPLIT, LOSS
+    }
+
+    /**
+     * One fault.
+     *
+     * @param one whom it meets
+     * @param other the other one of a pair
+     * @param groups in which part of a split each is
+     * @param millis for which it lasts, where it is not over by itself
+     */
+    public record Step(Kind kind, int one, int other, List<Integer> groups, long millis) { }
+
+    private static final long STARTED = 20_000;
+
+    private final Crew crew;
+    private final long pause;
+    private final Set<Integer> all;
+
+    public FaultPlan(Crew crew, long pauseMillis) {
+        this.crew = crew;
+        pause = pauseMillis;
+        all = IntStream.range(0, crew.size()).boxed().collect(Collectors.toSet());
+    }
+
+    /** Faults in any order; the first two are the seeds, of which one may always be found. */
+    public static List<Step> draw(long seed, int members, int steps, long pauseMillis) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Step> plan = new ArrayList<>();
+        for (int i = 0; i < steps; i++) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            int one = random.nextInt(members);
+            int other = (one + 1 + random.nextInt(members - 1)) % members;
+            int parts = 2 + random.nextInt(2);
+            List<Integer> groups = new ArrayList<>();
+            for (int m = 0; m < members; m++) {
+                // A part without a seed is found again by the others' knocking: that is wanted too.
+                groups.add(m < parts ? m : random.nextInt(parts));
+            }
+            long millis = kind == Kind.SHORT_STOP ? 100 + random.nextLong(pauseMillis * 6 / 10)
+                    : 2 * pauseMillis;
+            plan.add(new Step(kind, one, other, List.copyOf(groups), millis));
+        }
+        return plan;
+    }
+
+    /** What a word takes to all, and the silence before it. */
+    private long known() {
+        return 3 * pause + 1_000;
+    }
+
+    private void all(String what, long millis) throws Exception {
+        agree(all, all, what, millis);
+    }
+
+    private void agree(Set<Integer> among, Set<Integer> on, String what, long millis) throws Exception {
+        crew.within(millis, what, () -> crew.see(on.size(), among.stream().mapToInt(i -> i).toArray()));
+    }
+
+    private static Set<Integer> without(Set<Integer> all, int one) {
+        Set<Integer> rest = new HashSet<>(all);
+        rest.remove(one);
+        return rest;
+    }
+
+    private void last(Step step) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(step.millis);
+    }
+
+    /** Ends that any process has seen since then, but for those of these. */
+    private void nobodyEnded(long since, String what, Set<String> but) throws Exception {
+        List<Crew.Event> ends = crew.history().stream().filter(e -> e.mono() > since
+                && (e.event().equals("out") || e.event().equals("left")) && !but.contains(e.about())
+                && !but.contains(e.process())).toList();
+        Assertions.assertEquals(List.of(), ends, () -> what + "\n" + crew.logs());
+    }
+
+    /** Plays one fault and what must come of it. */
+    public void play(Step step) throws Exception {
+        long begun = System.nanoTime() / 1_000;
+        String what = step.toString();
+        Set<Integer> rest = without(all, step.one);
+        Set<String> none = Set.of();
+        Set<String> its = Set.of(Crew.name(step.one));
+        switch (step.kind) {
+            case SHORT_STOP -> {
+                crew.signal(step.one, "STOP");
+                last(step);
+                crew.signal(step.one, "CONT");
+                TimeUnit.MILLISECONDS.sleep(pause);
+                nobodyEnded(begun, what, none);
+            }
+            case LONG_STOP -> {
+                crew.signal(step.one, "STOP");
+                agree(rest, rest, what, known());
+                crew.signal(step.one, "CONT");
+                all(what + " is over", known());
+                nobodyEnded(begun, what, its);
+            }
+            case KILL -> {
+                crew.kill(step.one);
+                agree(rest, rest, what, known());
+                crew.start(step.one);
+                all(what + " is over", STARTED);
+                nobodyEnded(begun, what, its);
+            }
+            case ONE_WAY, PAIR -> {
+                boolean both = step.kind == Kind.PAIR;
+                crew.relay.cut((from, to) -> !(from == step.one && to == step.other)
+                        && !(both && from == step.other && to == step.one));
+                last(step);
+                crew.relay.cut((from, to) -> true);
+                nobodyEnded(begun, what, none);
+            }
+            case MUTE, DEAF -> {
+                crew.relay.cut((from, to) -> step.kind == Kind.MUTE ? from != step.one : to != step.one);
+                agree(rest, rest, what, known());
+                agree(Set.of(step.one), Set.of(step.one), what, known());
+                crew.relay.cut((from, to) -> true);
+                all(what + " is over", known());
+                nobodyEnded(begun, what, its);
+            }
+            case SPLIT -> {
+                crew.relay.cut((from, to) -> step.groups.get(from).equals(step.groups.get(to)));
+                for (int part : Set.copyOf(step.groups)) {
+                    Set<Integer> side = all.stream().filter(i -> step.groups.get(i) == part)
+                            .collect(Collectors.toSet());
+                    agree(side, side, what, known() + pause);
+                }
+                long healed = System.nanoTime() / 1_000;
+                crew.relay.cut((from, to) -> true);
+                all(what + " is over", known());
+                nobodyEnded(healed, what, none);
+            }
+            case LOSS -> {
+                crew.relay.weather(new Relay.Weather(0.2, 0.1, 0.1, 100, 0.02));
+                last(step);
+                crew.relay.weather(Relay.Weather.FAIR);
+                nobodyEnded(begun, what, none);
+            }
+            default -> throw new IllegalStateException(what);
+        }
+        all(what + ": all see all", known());
+    }
+}
--- a/src/test/java/larkbank/testkit/Stub.java
+++ b/src/test/java/larkbank/testkit/Stub.java
@@ -47,6 +47,7 @@
     private final ServerSocket listening;
     private final Thread accepting;
     private volatile Script script;
+    private volatile int idleMillis;
 
     public Stub(Script script) throws IOException {
         this(script, 50);
@@ -71,6 +72,16 @@
         script = next;
     }
 
+    /** From now on new connections that ask nothing for so long are closed; 0 for never. */
+    public void closesIdle(int millis) {
+        idleMillis = millis;
+    }
+
+    /** Connections that are open. */
+    public int open() {
+        return sockets.size();
+    }
+
     public int port() {
         return listening.getLocalPort();
     }
@@ -97,6 +108,7 @@
             while (true) {
                 Socket socket = listening.accept();
                 sockets.add(socket);
+                socket.setSoTimeout(idleMillis);
                 accepted.incrementAndGet();
                 daemon(() -> talk(socket));
             }
@@ -114,8 +126,9 @@
                 script.on(next);
             }
         } catch (IOException e) {
-            // The peer hung up, which a test may want.
+            // The peer hung up, or asked nothing for long, which a test may want.
         } finally {
+            sockets.remove(socket);
             ended.add(socket);
         }
     }
