One way to ask a door and one to list who is in; a statement without effect goes

Read once more: two commands opened the operators' door in the same form, two methods walked the members in the same form, two benches deleted a folder, and lease run had a line that did nothing.

--- a/src/bench/java/larkbank/fleet/CrewBench.java
+++ b/src/bench/java/larkbank/fleet/CrewBench.java
@@ -1,5 +1,6 @@
 package larkbank.fleet;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -120,7 +121,7 @@
         return crew.process(i).info().totalCpuDuration().orElseThrow().toNanos();
     }
 
-    private static void delete(Path folder) throws Exception {
+    static void delete(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : (Iterable<Path>) files.sorted(Comparator.reverseOrder())::iterator) {
                 Files.deleteIfExists(file);
--- a/src/bench/java/larkbank/fleet/LeaseCrewBench.java
+++ b/src/bench/java/larkbank/fleet/LeaseCrewBench.java
@@ -3,13 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import larkbank.testkit.Actors;
 import larkbank.testkit.Crew;
 import larkbank.testkit.Relay;
@@ -54,7 +52,7 @@
                 }
                 System.out.println("seed " + seed + ": never two");
             } finally {
-                delete(folder);
+                CrewBench.delete(folder);
             }
         }
         System.out.println(String.format(Locale.ROOT, "%d faults of holders, %d acts, term %d ms:"
@@ -112,12 +110,4 @@
             throw new AssertionError(actors.wrong() + "\n" + crew.logs());
         }
     }
-
-    private static void delete(Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : (Iterable<Path>) files.sorted(Comparator.reverseOrder())::iterator) {
-                Files.deleteIfExists(file);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/larkbank/cli/Door.java
@@ -0,0 +1,20 @@
+package larkbank.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A sidecar's operators' door, asked one line a connection. */
+record Door(InetSocketAddress address, int patienceMillis) {
+
+    /** All that it says to a line. */
+    String ask(String line) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, patienceMillis);
+            socket.setSoTimeout(patienceMillis);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/src/main/java/larkbank/cli/LeaseRunCommand.java
+++ b/src/main/java/larkbank/cli/LeaseRunCommand.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -95,14 +93,12 @@
         long until = first.until;
         boolean lost = false;
         while (!process.waitFor(ASK_MILLIS, TimeUnit.MILLISECONDS)) {
-            try {
-                Answer next = ask(address);
-                // A higher token is another grant, between which and this one somebody else may have acted.
-                lost |= !next.held() || next.token != first.token;
+            Answer next = askIfPossible(address);
+            // Where nobody answers, what was promised holds. A higher token is another grant, between which
+            // and this one somebody else may have acted.
+            if (next != null) {
+                lost = !next.held() || next.token != first.token;
                 until = lost ? until : Math.max(until, next.until);
-            } catch (IOException e) {
-                // What was promised holds, whoever answers.
-                lost |= false;
             }
             if (lost || millis(until) <= STOP_MILLIS + SPARE_MILLIS) {
                 end(process, until);
@@ -134,13 +130,19 @@
         return millis(answer.until);
     }
 
+    /** Null where the door can't be asked. */
+    private Answer askIfPossible(InetSocketAddress address) {
+        try {
+            return ask(address);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     private Answer ask(InetSocketAddress address) throws IOException {
         long asked = System.nanoTime();
-        try (Socket socket = new Socket()) {
-            socket.connect(address, PATIENCE_MILLIS);
-            socket.setSoTimeout(PATIENCE_MILLIS);
-            socket.getOutputStream().write(("LEASE " + name + "\n").getBytes(StandardCharsets.UTF_8));
-            String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+        try {
+            String text = new Door(address, PATIENCE_MILLIS).ask("LEASE " + name).strip();
             String[] parts = text.split(" ");
             boolean held = parts.length == 3 && parts[0].equals("YES");
             return new Answer(text, held ? Long.parseLong(parts[1]) : 0,
--- a/src/main/java/larkbank/cli/MembersCommand.java
+++ b/src/main/java/larkbank/cli/MembersCommand.java
@@ -5,8 +5,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -59,11 +57,8 @@
 
     private int print(InetSocketAddress address) {
         String said;
-        try (Socket socket = new Socket()) {
-            socket.connect(address, PATIENCE_MILLIS);
-            socket.setSoTimeout(PATIENCE_MILLIS);
-            socket.getOutputStream().write("MEMBERS\n".getBytes(StandardCharsets.US_ASCII));
-            said = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        try {
+            said = new Door(address, PATIENCE_MILLIS).ask("MEMBERS");
         } catch (IOException e) {
             return say("the door at " + door + " can't be asked: " + e.getMessage(), 1);
         }
--- a/src/main/java/larkbank/fleet/FleetSocket.java
+++ b/src/main/java/larkbank/fleet/FleetSocket.java
@@ -17,7 +17,6 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -27,11 +26,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import larkbank.Addresses;
 import larkbank.lease.LeasePlan;
 import larkbank.lease.Leases;
 import larkbank.lease.Word;
 import larkbank.membership.Change;
+import larkbank.membership.Entry;
 import larkbank.membership.Lending;
 import larkbank.membership.Membership;
 import larkbank.membership.MembershipPlan;
@@ -127,13 +128,8 @@
         }
         membersAt = now() + MEMBERS_MICROS;
         Map<String, InetSocketAddress> living = new HashMap<>();
-        for (Membership.Seen seen : membership.members().values()) {
-            Peer peer = seen.entry().peer();
-            if (seen.entry().standing() == Standing.MEMBER
-                    && "serving".equals(seen.entry().facts().get("state"))) {
-                living.put(peer.name(), peer.address());
-            }
-        }
+        entriesIn().filter(e -> "serving".equals(e.facts().get("state")))
+                .forEach(e -> living.put(e.peer().name(), e.peer().address()));
         living.put(opening.name(), plan.advertise());
         leases.members(living);
     }
@@ -166,14 +162,13 @@
     }
 
     private List<Peer> others() {
-        List<Peer> others = new ArrayList<>();
-        for (Membership.Seen seen : membership.members().values()) {
-            Peer peer = seen.entry().peer();
-            if (seen.entry().standing() == Standing.MEMBER && !peer.name().equals(opening.name())) {
-                others.add(peer);
-            }
-        }
-        return others;
+        return entriesIn().map(Entry::peer).filter(p -> !p.name().equals(opening.name())).toList();
+    }
+
+    /** Those that are in, as far as is known here; itself may be one. */
+    private Stream<Entry> entriesIn() {
+        return membership.members().values().stream().map(Membership.Seen::entry)
+                .filter(e -> e.standing() == Standing.MEMBER);
     }
 
     private Portion portion() {
