Servers' own calls get a way of their own, and time is kept for how far answers spread

Ruled out: too few slots (fleet-ledger refused no probe itself), quota (probes carry no tenant). Change: a Choice for servers' calls beside that for tenants; a refusal beside a server concerns that request only; the time kept for a request is mean and mean deviation; what can't be in time by the mean is let go of at once.

--- a/src/main/java/larkbank/pilot/Front.java
+++ b/src/main/java/larkbank/pilot/Front.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import larkbank.Ids;
@@ -36,13 +36,16 @@
     private final Supplier<Bearings> bearings;
     private final Supplier<String> caller;
     private final Quotas quotas;
-    private final Function<String, Helm> helms;
+    private final BiFunction<String, Boolean, Helm> helms;
     private final Map<String, Long> counts = new HashMap<>();
     private long numbers;
 
-    /** @param caller the service of this machine */
+    /**
+     * @param caller the service of this machine
+     * @param helms the way to a service, for requests of tenants or for calls without one
+     */
     Front(LongSupplier micros, Supplier<Bearings> bearings, Supplier<String> caller, Quotas quotas,
-            Function<String, Helm> helms) {
+            BiFunction<String, Boolean, Helm> helms) {
         this.micros = micros;
         this.bearings = bearings;
         this.caller = caller;
@@ -90,7 +93,7 @@
         long deadline = arrived + left - Math.min(MARGIN, left / MARGIN_PART);
         long aimAt = Math.min(deadline, arrived + route.aimMicros());
         String service = service(route, id);
-        Helm helm = service == null ? null : helms.apply(service);
+        Helm helm = service == null ? null : helms.apply(service, tenant == null);
         if (helm == null) {
             refuse(call, Fault.NOT_READY, 200_000);
             return;
@@ -145,7 +148,7 @@
     }
 
     private boolean has(Split split) {
-        Helm helm = helms.apply(split.service());
+        Helm helm = helms.apply(split.service(), false);
         return helm != null && helm.hasServers();
     }
 
--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -260,23 +260,25 @@
             return a.status() < 500 ? Result.SERVED : Result.ERROR;
         } else if (outcome instanceof Outcome.NotRun n) {
             return switch (n.reason()) {
-                case FULL, LATE -> Result.FULL;
+                // The pilot beside the server orders what waits there: its refusal is for this request only.
+                case FULL, LATE, CANCELLED, REFUSED -> Result.NOT_SENT;
                 case GONE, MISDIRECTED, NO_CONNECTION -> Result.NO_CONNECTION;
-                case CANCELLED, REFUSED -> Result.NOT_SENT;
             };
         }
         return Result.BROKEN;
     }
 
-    /** Work that waits counts for far more than work in hand: servers answer as fast up to their slots. */
+    /**
+     * Servers answer as fast up to their slots, and what waits is ordered beside them: the module's own limits
+     * must not hold back here what would go first there, so a server is never told to be more than half used.
+     */
     private static LoadReport report(Load load) {
         if (load == null || load.slots() <= 0) {
             return null;
         }
-        double use = 0.4 * Math.min(1, load.running() / (double) load.slots())
-                + load.waiting() / (double) load.slots();
-        return new LoadReport(Double.NaN, load.waiting(), Math.min(1, use), Double.NaN, Double.NaN,
-                Double.NaN);
+        double use = 0.3 * Math.min(1, load.running() / (double) load.slots())
+                + Math.min(0.19, 0.1 * load.waiting() / load.slots());
+        return new LoadReport(Double.NaN, load.waiting(), use, Double.NaN, Double.NaN, Double.NaN);
     }
 
     @Override
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -72,6 +72,8 @@
     private final Following following = new Following();
     private final Quotas quotas = new Quotas();
     private final Map<String, Helm> helms = new HashMap<>();
+    /** The ways of servers' own calls: what clients press on must not hold them up. */
+    private final Map<String, Helm> inner = new HashMap<>();
     private final Set<String> down = new HashSet<>();
     private final ShipDesk ships;
     private final Quay quay;
@@ -100,7 +102,8 @@
         hops = new Hops(clock, own, quay, peers);
         lookout = new Lookout(wharf, clock, papers.name(), ships::berth, roster, following, quotas,
                 this::newBearings);
-        front = new Front(clock, () -> bearings, () -> this.papers.service(), quotas, this::helm);
+        front = new Front(clock, () -> bearings, () -> this.papers.service(), quotas,
+                (service, calls) -> calls ? helm(inner, service) : helm(helms, service));
     }
 
     /** Runs until the process is ended; a status above 0 where it can't start. */
@@ -175,10 +178,10 @@
                 && helms.values().stream().anyMatch(Helm::hasServers);
     }
 
-    private Helm helm(String service) {
-        return helms.computeIfAbsent(service, s -> {
+    private Helm helm(Map<String, Helm> ways, String service) {
+        return ways.computeIfAbsent(service, s -> {
             listStale = true;
-            double slack = SLACK_PART * papers.figure("retrySlack", 0) / Math.max(1, roster.size());
+            double slack = SLACK_PART / 2 * papers.figure("retrySlack", 0) / Math.max(1, roster.size());
             return new Helm(s, loop, clock, hops, papers.name(), Math.max(0, zones.indexOf(papers.zone())),
                     zones, Helm.budget(papers.bound("retryWindow", 10_000_000), Math.max(1, slack),
                             RATIO_PART * papers.figure("retryBudgetRatio", 0)));
@@ -252,7 +255,8 @@
                 addresses.add(berth.address());
             }
             if (berth.ship() != null) {
-                helm(berth.ship().service());
+                helm(helms, berth.ship().service());
+                helm(inner, berth.ship().service());
             }
             if (berth.takes() && (mine || peers.line(berth.address()) != null
                     && !down.contains(berth.address()))) {
@@ -263,7 +267,10 @@
             }
         }
         peers.want(addresses);
-        helms.forEach((service, helm) -> helm.servers(targets.getOrDefault(service, List.of()), zones, warm));
+        for (Map<String, Helm> ways : List.of(helms, inner)) {
+            ways.forEach((service, helm) ->
+                    helm.servers(targets.getOrDefault(service, List.of()), zones, warm));
+        }
     }
 
     /** SIGTERM: nothing new is taken by and by, what is in hand is answered. */
--- a/src/main/java/larkbank/quay/Means.java
+++ b/src/main/java/larkbank/quay/Means.java
@@ -1,25 +1,37 @@
 package larkbank.quay;
 
-/** Mean service times, learned apart for inner requests and others. */
+/**
+ * Service times, learned apart for inner requests and others: their mean, and how far they spread. Time is
+ * kept for both: of requests let in with the mean alone to spare half would be late.
+ */
 final class Means {
-    private static final double SHARE = 0.1;
+    private static final double SHARE = 0.05;
 
     private double inner;
     private double outer;
+    private double innerSpread;
+    private double outerSpread;
 
     Means(long first) {
         inner = first;
         outer = first;
     }
 
+    /** The time that most of its like keep to. */
+    long mostly(Cargo cargo) {
+        return (long) (cargo.inner ? inner + innerSpread : outer + outerSpread);
+    }
+
     long of(Cargo cargo) {
         return (long) (cargo.inner ? inner : outer);
     }
 
     void saw(Cargo cargo, long micros) {
         if (cargo.inner) {
+            innerSpread += SHARE * (Math.abs(micros - inner) - innerSpread);
             inner += SHARE * (micros - inner);
         } else {
+            outerSpread += SHARE * (Math.abs(micros - outer) - outerSpread);
             outer += SHARE * (micros - outer);
         }
     }
--- a/src/main/java/larkbank/quay/Stevedore.java
+++ b/src/main/java/larkbank/quay/Stevedore.java
@@ -84,7 +84,7 @@
             if (now + MARGIN_MICROS > c.deadline) {
                 refused.add(new Refusal<>(c, Reason.LATE, 0));
                 waiting.remove(c);
-            } else if (now - c.arrivedAt > WAITED_MICROS && now + means.of(c) / 2 > c.aimAt
+            } else if (now - c.arrivedAt > WAITED_MICROS && now + means.of(c) > c.aimAt
                     || !c.reviewed && now >= reviewAt(c) && foreseen(now, order, c)) {
                 waiting.remove(c);
                 refused.add(full(now, order, c));
@@ -103,7 +103,7 @@
         long next = Long.MAX_VALUE;
         for (C c : waiting) {
             next = Math.min(next, c.deadline - MARGIN_MICROS + 1);
-            next = Math.min(next, Math.max(c.aimAt - means.of(c) / 2, c.arrivedAt + WAITED_MICROS) + 1);
+            next = Math.min(next, Math.max(c.aimAt - means.of(c), c.arrivedAt + WAITED_MICROS) + 1);
             next = c.reviewed ? next : Math.min(next, reviewAt(c));
         }
         return next;
@@ -182,7 +182,7 @@
         for (C c : waiting) {
             ahead += c != cargo && order.compare(c, cargo) < 0 ? means.of(c) : 0;
         }
-        return now + ahead / limit.parallel(now) + means.of(cargo) - cargo.aimAt;
+        return now + ahead / limit.parallel(now) + means.mostly(cargo) - cargo.aimAt;
     }
 
     private Refusal<C> full(long now, Order order, C cargo) {
