--- /dev/null
+++ b/src/main/java/larkbank/bridge/Asker.java
@@ -0,0 +1,68 @@
+package larkbank.bridge;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import larkbank.lading.Calls;
+import larkbank.lading.Scribe;
+
+/** Asks all addresses for their state at once; each has the same time to answer. */
+final class Asker {
+
+    private final HttpClient client;
+    private final Duration patience;
+
+    Asker(long patienceMillis) {
+        patience = Duration.ofMillis(patienceMillis);
+        client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(patience)
+                .build();
+    }
+
+    /** One answer for each address, in their order. */
+    List<Said> ask(List<String> addresses, boolean items) {
+        List<CompletableFuture<Said>> asked = addresses.stream().map(at -> ask(at, items)).toList();
+        return asked.stream().map(CompletableFuture::join).toList();
+    }
+
+    private CompletableFuture<Said> ask(String at, boolean items) {
+        URI uri = URI.create("http://" + at + Calls.STATE.path() + (items ? "?items" : ""));
+        HttpRequest request = HttpRequest.newBuilder(uri).timeout(patience).GET().build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .orTimeout(patience.toMillis(), TimeUnit.MILLISECONDS)
+                .thenApply(answer -> said(at, answer))
+                .exceptionally(e -> new Said(at, null, why(e)));
+    }
+
+    private static Said said(String at, HttpResponse<byte[]> answer) {
+        if (answer.statusCode() != 200) {
+            return new Said(at, null, "answers " + answer.statusCode());
+        }
+        try {
+            return new Said(at, Scribe.read(answer.body(), 0, answer.body().length), null);
+        } catch (IOException e) {
+            return new Said(at, null, "answers what is no JSON");
+        }
+    }
+
+    private String why(Throwable e) {
+        Throwable cause = e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
+        if (cause instanceof HttpTimeoutException || cause instanceof TimeoutException) {
+            return "no answer in " + patience.toMillis() + " ms";
+        }
+        if (cause instanceof ConnectException) {
+            return "nobody listens";
+        }
+        return "no answer: " + (cause.getMessage() == null ? cause.getClass().getSimpleName()
+                : cause.getMessage());
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/bridge/Bridge.java
@@ -0,0 +1,60 @@
+package larkbank.bridge;
+
+import java.io.PrintWriter;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command line. One class a command; errors are one line each on standard error. */
+@Command(name = "cypressweir", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "A service mesh: its programs, its checks, and questions to it.",
+        synopsisSubcommandLabel = "COMMAND",
+        footer = {"", "Programs: pilot, harbour (settings file in CYPRESSWEIR_NODE_FILE).",
+            "Exit status: 0 done; 1 nobody answers, or a file can't be read; 2 wrong use, or a bad file; "
+                + "3 some don't answer; 4 no such route."},
+        subcommands = {ServeCommand.PilotCommand.class, ServeCommand.HarbourCommand.class, CheckCommand.class,
+            FleetCommand.class, ItemsCommand.class, RouteCommand.class, CopiesCommand.class,
+            TalliesCommand.class, StateCommand.class, HelpCommand.class})
+final class Bridge implements Runnable {
+
+    static final int DONE = 0;
+    /** Nobody answers, or a file can't be read. */
+    static final int NOBODY = 1;
+    /** Wrong use, or a bad file. */
+    static final int BAD = 2;
+    static final int SOME_SILENT = 3;
+    static final int NO_ROUTE = 4;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs a command; the exit status. */
+    static int run(String... args) {
+        return run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args);
+    }
+
+    static int run(PrintWriter out, PrintWriter err, String... args) {
+        return new CommandLine(new Bridge()).setOut(out).setErr(err)
+                .setExitCodeExceptionMapper(e -> NOBODY)
+                .setParameterExceptionHandler((e, given) -> wrong(e, err))
+                .setExecutionExceptionHandler((e, line, result) -> {
+                    err.println("cypressweir: " + e);
+                    return NOBODY;
+                }).execute(args);
+    }
+
+    private static int wrong(ParameterException e, PrintWriter err) {
+        String line = String.valueOf(e.getMessage()).replace('\n', ' ');
+        err.println("cypressweir: " + line + " (" + e.getCommandLine().getCommandSpec().qualifiedName()
+                + " --help)");
+        return BAD;
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/bridge/CopiesCommand.java
@@ -0,0 +1,35 @@
+package larkbank.bridge;
+
+import java.util.List;
+import java.util.Map;
+import larkbank.Json;
+import larkbank.lading.Scribe;
+import picocli.CommandLine.Command;
+
+/** {@code copies}: which configuration stands where, and how copies are. */
+@Command(name = "copies", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "The configuration's stamp where one asks; of harbours their copies, of pilots how "
+                + "many harbours are heard.")
+final class CopiesCommand extends Query {
+
+    @Override
+    List<String> columns() {
+        return List.of("kind", "name", "stamp", "items", "open", "forgetful", "sick", "crew", "heard");
+    }
+
+    @Override
+    List<Map<String, Object>> rows(Map<String, Object> state) {
+        Map<String, Object> row = Scribe.map();
+        columns().forEach(column -> {
+            if (state.get(column) != null) {
+                row.put(column, state.get(column));
+            }
+        });
+        List<Map<String, Object>> harbours = objects(state, "harbours");
+        if (!harbours.isEmpty()) {
+            row.put("heard", harbours.stream().filter(h -> Json.flag(h, "heard")).count() + "/"
+                    + harbours.size());
+        }
+        return List.of(row);
+    }
+}
--- a/src/main/java/larkbank/bridge/Main.java
+++ b/src/main/java/larkbank/bridge/Main.java
@@ -14,10 +14,7 @@
         switch (args.length == 1 ? args[0] : "") {
             case "pilot" -> System.exit(Pilot.run(System.getenv(), System.err));
             case "harbour" -> System.exit(Harbour.run(System.getenv(), System.err));
-            default -> {
-                System.err.println("usage: java -jar cypressweir.jar pilot|harbour");
-                System.exit(2);
-            }
+            default -> System.exit(Bridge.run(args));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/larkbank/bridge/Query.java
@@ -0,0 +1,190 @@
+package larkbank.bridge;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import larkbank.Addresses;
+import larkbank.lading.Scribe;
+import larkbank.papers.NodePapers;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** What all questions have in common: whom to ask, what to show of the answers, and the exit status. */
+abstract class Query implements Callable<Integer> {
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--at", paramLabel = "ADDRESS", description = "A controlPlane address to ask; may be "
+            + "repeated. Without it that of the settings file in CYPRESSWEIR_NODE_FILE.")
+    private List<String> at = new ArrayList<>();
+    @Option(names = "--timeout", paramLabel = "MS", defaultValue = "2000",
+            description = "How long each has to answer, in milliseconds (${DEFAULT-VALUE}).")
+    private long timeout;
+    @Option(names = "--json", description = "One JSON object: rows, and who is silent.")
+    private boolean json;
+    @Option(names = "--where", paramLabel = "COLUMN=VALUE", description = "Only rows that say so; may be "
+            + "repeated, all hold.")
+    private List<String> where = new ArrayList<>();
+    @Option(names = "--columns", paramLabel = "A,B", split = ",", description = "Only these, in this order.")
+    private List<String> shown = new ArrayList<>();
+    @Option(names = "--sort", paramLabel = "COLUMN", description = "By this; numbers by size.")
+    private String sort;
+    @Option(names = "--watch", paramLabel = "SECONDS", description = "Ask again and again until ended.")
+    private double watch;
+
+    /** All columns that there are. */
+    abstract List<String> columns();
+
+    /** Rows of one answer, without where it came from. */
+    abstract List<Map<String, Object>> rows(Map<String, Object> state);
+
+    /** Whether the list of items is wanted. */
+    boolean items() {
+        return false;
+    }
+
+    /** The status where all have answered. */
+    int status(Sheet sheet) {
+        return Bridge.DONE;
+    }
+
+    final PrintWriter err() {
+        return spec.commandLine().getErr();
+    }
+
+    final PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        List<String> addresses = addresses();
+        List<String> all = new ArrayList<>(List.of("at"));
+        all.addAll(columns());
+        shown.forEach(column -> known(column, all));
+        if (sort != null) {
+            known(sort, all);
+        }
+        for (String one : where) {
+            if (one.indexOf('=') < 1) {
+                throw wrong("--where takes COLUMN=VALUE, not '" + one + "'");
+            }
+            known(one.substring(0, one.indexOf('=')), all);
+        }
+        if (timeout < 1 || watch < 0) {
+            throw wrong("times are above 0");
+        }
+        Asker asker = new Asker(timeout);
+        while (true) {
+            int status = once(asker, addresses, all);
+            if (watch == 0) {
+                return status;
+            }
+            Thread.sleep(Math.max(100, (long) (watch * 1000)));
+            if (!json) {
+                out().println();
+            }
+        }
+    }
+
+    private int once(Asker asker, List<String> addresses, List<String> all) {
+        List<Said> said = asker.ask(addresses, items());
+        Sheet sheet = new Sheet(all, rows(said));
+        for (String one : where) {
+            int equals = one.indexOf('=');
+            sheet = sheet.where(one.substring(0, equals), one.substring(equals + 1));
+        }
+        sheet = sort == null ? sheet : sheet.sorted(sort);
+        Sheet last = shown.isEmpty() ? sheet : sheet.cut(shown);
+        List<Said> silent = said.stream().filter(Said::silent).toList();
+        show(last, silent, silent.size() == said.size());
+        return silent.size() == said.size() ? Bridge.NOBODY : !silent.isEmpty() ? Bridge.SOME_SILENT
+                : status(sheet);
+    }
+
+    private List<Map<String, Object>> rows(List<Said> said) {
+        List<Map<String, Object>> rows = new ArrayList<>();
+        for (Said one : said) {
+            if (!one.silent()) {
+                for (Map<String, Object> row : rows(one.state())) {
+                    Map<String, Object> whole = Scribe.map("at", one.at());
+                    whole.putAll(row);
+                    rows.add(whole);
+                }
+            }
+        }
+        return rows;
+    }
+
+    private void show(Sheet sheet, List<Said> silent, boolean nobody) {
+        if (json) {
+            List<Object> names = new ArrayList<>();
+            silent.forEach(s -> names.add(Scribe.map("at", s.at(), "why", s.why())));
+            out().println(new String(Scribe.bytes(Scribe.map("rows", sheet.rows(), "silent", names)),
+                    StandardCharsets.UTF_8));
+        } else if (!nobody) {
+            sheet.lines().forEach(out()::println);
+        }
+        out().flush();
+        silent.forEach(s -> err().println("cypressweir: " + s.at() + ": " + s.why()));
+        err().flush();
+    }
+
+    private List<String> addresses() {
+        List<String> addresses = at.isEmpty() ? List.of(own()) : at;
+        for (String address : addresses) {
+            try {
+                Addresses.parse(address);
+            } catch (IllegalArgumentException e) {
+                throw wrong(e.getMessage());
+            }
+        }
+        return addresses;
+    }
+
+    private String own() {
+        String file = System.getenv("CYPRESSWEIR_NODE_FILE");
+        try {
+            String address = file == null ? null : NodePapers.read(Files.readAllBytes(Path.of(file)))
+                    .map(papers -> papers.listen().get("controlPlane")).getOrNull();
+            if (address != null) {
+                return address;
+            }
+        } catch (IOException e) {
+            throw wrong("--at ADDRESS is missing, and " + file + " can't be read");
+        }
+        throw wrong("--at ADDRESS is missing");
+    }
+
+    private void known(String column, List<String> all) {
+        if (!all.contains(column)) {
+            throw wrong("no column " + column + "; there are " + String.join(", ", all));
+        }
+    }
+
+    final ParameterException wrong(String why) {
+        return new ParameterException(spec.commandLine(), why);
+    }
+
+    /** The objects of a list in an answer. */
+    @SuppressWarnings("unchecked")
+    static List<Map<String, Object>> objects(Map<String, Object> in, String name) {
+        List<Map<String, Object>> objects = new ArrayList<>();
+        if (in.get(name) instanceof List<?> list) {
+            list.forEach(one -> {
+                if (one instanceof Map<?, ?> map) {
+                    objects.add((Map<String, Object>) map);
+                }
+            });
+        }
+        return objects;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/bridge/SettingsCheck.java
@@ -0,0 +1,65 @@
+package larkbank.bridge;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import larkbank.Addresses;
+import larkbank.papers.NodePapers;
+
+/** All that is wrong with a settings file: what the programs' own reader finds, and what they need beside. */
+final class SettingsCheck {
+
+    /** For which program more is wanted. */
+    enum Program { pilot, harbour }
+
+    private SettingsCheck() { }
+
+    /** @param program null for neither */
+    static List<Flaw> flaws(byte[] file, Program program) {
+        Either<List<String>, NodePapers> read = NodePapers.read(file);
+        if (read.isLeft()) {
+            return read.getLeft().stream().map(Flaw::of).toList();
+        }
+        NodePapers papers = read.get();
+        List<Flaw> flaws = new ArrayList<>();
+        papers.listen().forEach((name, text) -> address("network.listenAddresses." + name, text, flaws));
+        for (int i = 0; i < papers.seeds().size(); i++) {
+            address("network.seedNodes[" + i + "]", papers.seeds().get(i), flaws);
+        }
+        address("localNode.ipAddress", papers.ip() + ":1", flaws);
+        if (papers.application() != null) {
+            address("localNode.application", papers.application(), flaws);
+        }
+        if (!papers.zones().isEmpty() && !papers.zones().containsKey(papers.zone())) {
+            flaws.add(new Flaw("localNode.zone", papers.zone() + " is none of network.zones"));
+        }
+        if (program == Program.harbour) {
+            wanted(papers.dataDirectory() != null, "localNode.dataDirectory", program, flaws);
+        } else if (program == Program.pilot) {
+            wanted(papers.application() != null, "localNode.application", program, flaws);
+            for (String name : List.of("outbound", "readiness")) {
+                wanted(papers.listen().containsKey(name), "network.listenAddresses." + name, program, flaws);
+            }
+        }
+        if (program != null) {
+            wanted(papers.listen().containsKey("controlPlane"), "network.listenAddresses.controlPlane",
+                    program, flaws);
+            wanted(!papers.seeds().isEmpty(), "network.seedNodes", program, flaws);
+        }
+        return flaws;
+    }
+
+    private static void wanted(boolean there, String place, Program program, List<Flaw> flaws) {
+        if (!there) {
+            flaws.add(new Flaw(place, "is missing, and a " + program + " wants it"));
+        }
+    }
+
+    private static void address(String place, String text, List<Flaw> flaws) {
+        try {
+            Addresses.parse(text);
+        } catch (IllegalArgumentException e) {
+            flaws.add(new Flaw(place, e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkbank/bridge/Version.java
@@ -0,0 +1,13 @@
+package larkbank.bridge;
+
+import picocli.CommandLine.IVersionProvider;
+
+/** The version that the build has written into the archive. */
+final class Version implements IVersionProvider {
+
+    @Override
+    public String[] getVersion() {
+        String version = Version.class.getPackage().getImplementationVersion();
+        return new String[] {"cypressweir " + (version == null ? "(not packaged)" : version)};
+    }
+}
--- a/src/main/java/larkbank/harbour/Harbour.java
+++ b/src/main/java/larkbank/harbour/Harbour.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import larkbank.Addresses;
+import larkbank.bridge.state.StateDesk;
 import larkbank.copies.Copies;
 import larkbank.copies.CopiesPlan;
 import larkbank.copies.Standing;
@@ -63,6 +65,8 @@
     private final NewsDesk news = new NewsDesk(clock, life);
     private final Moorings others;
     private volatile Keeping keeping;
+    /** Harbours that have a line here, whoever they are: one that asks to be let in is told the answer. */
+    private final Map<Line, String> callers = new HashMap<>();
     private List<String> seeds;
     private long ticks;
 
@@ -118,7 +122,9 @@
         disk.execute(this::openStore);
         wharf.listen(Addresses.parse(own), new Lines());
         Gangway.open(group, Addresses.parse(papers.listen().get("controlPlane")), () -> OPERATORS, clock,
-                new OperatorDesk(() -> keeping, clock));
+                new StateDesk(new OperatorDesk(() -> keeping, clock), items -> HarbourState.of(
+                        clock.getAsLong(), papers.name(), life, keeping == null ? null : keeping.copies(),
+                        news, items)));
         LOG.info("Harbour " + papers.name() + " listens.");
         try {
             ended.await();
@@ -172,6 +178,7 @@
     private void wantOthers() {
         Set<String> wanted = new HashSet<>(seeds);
         wanted.addAll(keeping.copies().crew());
+        wanted.addAll(callers.values());
         wanted.remove(own);
         others.want(wanted);
     }
@@ -187,6 +194,7 @@
             if (type.equals("hello")) {
                 if (Scribe.text(head, "kind").equals("harbour")) {
                     line.owner(Scribe.text(head, "address"));
+                    callers.put(line, Scribe.text(head, "address"));
                 } else {
                     news.welcome(line, Scribe.text(head, "name"));
                 }
@@ -201,6 +209,7 @@
 
         @Override
         public void closed(Line line) {
+            callers.remove(line);
             news.lost(line);
         }
     }
--- /dev/null
+++ b/src/main/java/larkbank/harbour/HarbourState.java
@@ -0,0 +1,48 @@
+package larkbank.harbour;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import larkbank.berth.Berth;
+import larkbank.berth.Ship;
+import larkbank.bridge.state.Listing;
+import larkbank.copies.Copies;
+import larkbank.lading.Scribe;
+import larkbank.manifest.Manifest;
+
+/** What operators are told of a harbour. */
+final class HarbourState {
+
+    private HarbourState() { }
+
+    /** @param copies null as long as the disk is not open */
+    static Map<String, Object> of(long now, String name, long life, Copies copies, NewsDesk news,
+            boolean items) {
+        Manifest manifest = news.editions().manifest();
+        Map<String, Object> state = Scribe.map("kind", "harbour", "name", name, "life", life,
+                "stamp", news.editions().stamp().toString(), "items", manifest.size(),
+                "open", copies != null);
+        if (copies != null) {
+            state.put("crew", copies.crew());
+            state.put("forgetful", copies.forgetful());
+            state.put("sick", copies.sick(now));
+        }
+        List<Object> berths = new ArrayList<>();
+        news.register().all().forEach(berth -> berths.add(line(berth, news.silence(berth.name()))));
+        state.put("berths", berths);
+        state.put("tallies", news.asked());
+        if (items) {
+            state.put("list", Listing.of(manifest));
+        }
+        return state;
+    }
+
+    private static Map<String, Object> line(Berth berth, long silence) {
+        Ship ship = berth.ship();
+        return Scribe.map("name", berth.name(), "address", berth.address(), "zone", berth.zone(),
+                "service", ship == null ? berth.service() : ship.service(),
+                "server", ship == null ? null : ship.id(), "slots", ship == null ? null : ship.slots(),
+                "draining", ship != null && ship.draining(), "leaving", berth.leaving(),
+                "ageMs", silence < 0 ? null : silence / 1000);
+    }
+}
--- a/src/main/java/larkbank/harbour/NewsDesk.java
+++ b/src/main/java/larkbank/harbour/NewsDesk.java
@@ -59,6 +59,27 @@
         return register;
     }
 
+    Editions editions() {
+        return editions;
+    }
+
+    /** What tenants ask in all, a second. */
+    Map<String, Double> asked() {
+        return demands.sums(micros.getAsLong());
+    }
+
+    /** How long nothing has come from a pilot; below 0 where it has no line here. */
+    long silence(String name) {
+        long silence = -1;
+        for (Map.Entry<Line, Seat> one : seats.entrySet()) {
+            long its = micros.getAsLong() - one.getKey().heardAt();
+            if (one.getValue().name.equals(name) && (silence < 0 || its < silence)) {
+                silence = its;
+            }
+        }
+        return silence;
+    }
+
     /** A pilot is on this line. */
     void welcome(Line line, String name) {
         seats.put(line, new Seat(name));
--- a/src/main/java/larkbank/lading/Calls.java
+++ b/src/main/java/larkbank/lading/Calls.java
@@ -8,7 +8,8 @@
     HEARTBEAT("POST", "/cypressweir/instances/*/heartbeat"),
     DEREGISTER("POST", "/cypressweir/instances/*/deregister"),
     MODIFY("POST", "/cypressweir/config/modify"),
-    READ("GET", "/cypressweir/config/read");
+    READ("GET", "/cypressweir/config/read"),
+    STATE("GET", "/cypressweir/state");
 
     private final String method;
     private final String before;
@@ -27,6 +28,11 @@
         return method;
     }
 
+    /** The path of a call without a name in it. */
+    public String path() {
+        return before;
+    }
+
     /** The name in the path, an empty text where the call has none; nothing: it is another call. */
     public Optional<String> name(String path) {
         if (!named) {
--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
@@ -65,6 +66,7 @@
     private final Map<String, Passage> open = new HashMap<>();
     private final Map<Long, Target> targets = new HashMap<>();
     private final Map<String, Long> started = new HashMap<>();
+    private final Map<Fault, Long> counts = new EnumMap<>(Fault.class);
     private boolean hasServers;
 
     /** @param budget how many further attempts may go to the service's servers */
@@ -113,13 +115,23 @@
         return open.size();
     }
 
+    /** Refusals and failures of the mesh's own here, by kind. */
+    Map<Fault, Long> counts() {
+        return counts;
+    }
+
+    private Answer own(Fault fault, long againMicros) {
+        counts.merge(fault, 1L, Long::sum);
+        return Answers.of(fault, againMicros);
+    }
+
     /** Takes a request; from now on it gets its answer here. */
     void take(Passage passage) {
         long now = micros.getAsLong();
         open.put(passage.number, passage);
         passage.call.whenGone(() -> left(passage));
         if (!hasServers) {
-            passage.answer(Answers.of(Fault.NOT_READY, 200_000));
+            passage.answer(own(Fault.NOT_READY, 200_000));
             forget(passage);
             return;
         }
@@ -290,7 +302,7 @@
         if (p.mayHaveRun()) {
             end(p);
         } else {
-            p.answer(Answers.of(Fault.NO_ROOM, retryAfterMicros));
+            p.answer(own(Fault.NO_ROOM, retryAfterMicros));
             forget(p);
         }
     }
@@ -308,9 +320,9 @@
         if (p.kept != null) {
             p.answer(p.kept);
         } else if (!p.mayHaveRun()) {
-            p.answer(Answers.of(Fault.NO_ROOM, 100_000));
+            p.answer(own(Fault.NO_ROOM, 100_000));
         } else {
-            p.answer(Answers.of(micros.getAsLong() >= p.deadline - TICK ? Fault.TIMED_OUT : Fault.BROKEN));
+            p.answer(own(micros.getAsLong() >= p.deadline - TICK ? Fault.TIMED_OUT : Fault.BROKEN, 0));
         }
         forget(p);
     }
--- a/src/main/java/larkbank/pilot/Lookout.java
+++ b/src/main/java/larkbank/pilot/Lookout.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import larkbank.Json;
@@ -118,6 +119,13 @@
         quotas.silent(address);
     }
 
+    /** All harbours that lines are wanted to, each with whether it is heard. */
+    Map<String, Boolean> harbours() {
+        Map<String, Boolean> all = new TreeMap<>();
+        moorings.addresses().forEach(address -> all.put(address, heard.contains(address)));
+        return all;
+    }
+
     /** Whether any harbour is heard. */
     boolean hears() {
         return !heard.isEmpty();
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -21,6 +21,7 @@
 import larkbank.berth.Berth;
 import larkbank.berth.Roster;
 import larkbank.berth.Ship;
+import larkbank.bridge.state.StateDesk;
 import larkbank.daily.Hangup;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Bounds;
@@ -145,7 +146,8 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(ended), "end"));
         Map<String, String> listen = papers.listen();
-        Gangway.open(group, Addresses.parse(listen.get("controlPlane")), () -> OWN_CALLS, clock, ships);
+        Gangway.open(group, Addresses.parse(listen.get("controlPlane")), () -> OWN_CALLS, clock,
+                new StateDesk(ships, this::state));
         wharf.listen(Addresses.parse(own), landing);
         loop.execute(() -> lookout.seeds(seeds(papers)));
         Gangway.open(group, Addresses.parse(listen.get("readiness")), () -> OWN_CALLS, clock, call ->
@@ -273,6 +275,19 @@
         }
     }
 
+    /** What operators are told of this pilot. */
+    private Map<String, Object> state(boolean items) {
+        PilotState its = new PilotState(clock.getAsLong(), papers.name(), bearings);
+        its.harbours(lookout);
+        its.peers(peers, down);
+        its.servers(roster, ships.berth(), peers, down, hops);
+        its.own(ships.berth(), quay.load());
+        its.requests(outbound == null ? 0 : outbound.requestsOpen(), hops.size(), helms);
+        its.refusals(front.counts(), helms);
+        its.tenants(quotas);
+        return its.map(items);
+    }
+
     /** SIGTERM: nothing new is taken by and by, what is in hand is answered. */
     private void leave(CountDownLatch ended) {
         long grace = papers.bound("gracePeriod", 6_000_000);
--- /dev/null
+++ b/src/test/java/larkbank/bridge/CheckCommandTest.java
@@ -0,0 +1,101 @@
+package larkbank.bridge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CheckCommandTest {
+
+    private static final String GOOD = """
+            {"localNode": {"nodeName": "p1", "ipAddress": "127.0.2.1", "zone": "a"},
+             "network": {"internalPortRange": [7400, 7409], "zones": {"a": "r"},
+              "listenAddresses": {"controlPlane": "127.0.2.1:7500"}, "seedNodes": ["127.0.1.1:7400"]}}
+            """;
+    private static final String ROUTE = """
+            {"hostname": "%s", "pathPrefix": "/", "routeType": "idempotent", "timeout": "%s",
+             "targetLatency": "50ms", "priority": 1, "service": "%s", "maxAttempts": 2, "configVersion": "r1"}
+            """;
+    private static final String SERVICE = """
+            {"healthPath": "/", "maxConnections": 8, "configVersion": "r1"}""";
+
+    @TempDir
+    Path folder;
+    private Path file;
+    private int status;
+
+    private List<String> check(String kind, String text, String... more) throws IOException {
+        file = folder.resolve("file.json");
+        Files.writeString(file, text);
+        String[] args = new String[more.length + 3];
+        args[0] = "check";
+        args[1] = kind;
+        args[2] = file.toString();
+        System.arraycopy(more, 0, args, 3, more.length);
+        StringWriter out = new StringWriter();
+        status = Bridge.run(new PrintWriter(out), new PrintWriter(out), args);
+        return out.toString().lines().map(line -> line.replace(file + ": ", "")).toList();
+    }
+
+    @Test
+    void allFaultsOfSettingsAreTold() throws IOException {
+        assertThat(check("settings", GOOD)).isEmpty();
+        assertThat(status).isZero();
+        assertThat(check("settings", GOOD, "--for", "harbour"))
+                .containsExactly("localNode.dataDirectory: is missing, and a harbour wants it");
+        assertThat(check("settings", "{\"localNode\": {\"zone\": 3}}")).contains(
+                "network.internalPortRange: wants two ports", "localNode.nodeName: is missing",
+                "localNode.zone: is no text");
+        assertThat(check("settings", GOOD.replace(":7500", "").replace("\"zone\": \"a\"", "\"zone\": \"b\"")))
+                .containsExactly("network.listenAddresses.controlPlane: '127.0.2.1' is not an address and a "
+                        + "port", "localNode.zone: b is none of network.zones");
+        assertThat(status).isEqualTo(2);
+        assertThat(check("settings", "{")).singleElement().asString().startsWith("the file: ");
+    }
+
+    @Test
+    void allFaultsOfAChangeAreTold() throws IOException {
+        String good = "{\"upsert\": {\"routeTable\": {\"r\": " + ROUTE.formatted("h", "1s", "s")
+                + "}, \"serviceTable\": {\"s\": " + SERVICE + "}}}";
+        assertThat(check("config", good)).isEmpty();
+        assertThat(status).isZero();
+        String bad = "{\"upsert\": {\"routeTable\": {\"a\": " + ROUTE.formatted("h", "soon", "none")
+                + ", \"b\": " + ROUTE.formatted("same", "1s", "s").replace("\"r1\"", "1")
+                + ", \"c\": " + ROUTE.formatted("same", "1s", "s")
+                + "}, \"serviceTable\": {\"s\": " + SERVICE.replace("8", "0").replace("\"/\"", "\"x\"")
+                + "}}, \"withdraw\": {\"tenantTable\": [{}]}}";
+        assertThat(check("config", bad)).containsExactlyInAnyOrder(
+                "routeTable.b.configVersion: must be a text",
+                "withdraw.tenantTable[0].name: is missing",
+                "routeTable.a.timeout: must be a time such as 1500ms or 2.5s",
+                "routeTable.a: names service none, which is unknown",
+                "serviceTable.s.healthPath: must begin with a slash",
+                "serviceTable.s.maxConnections: must be from 1 to 2147483647",
+                "routeTable.c: and routeTable.b share same/");
+        assertThat(status).isEqualTo(2);
+    }
+
+    @Test
+    void aChangeMayLeanOnWhatStands() throws IOException {
+        Path base = folder.resolve("base.json");
+        Files.writeString(base, "{\"serviceTable\": {\"s\": " + SERVICE + "}, \"limits\": {}}");
+        String change = "{\"upsert\": {\"routeTable\": {\"r\": " + ROUTE.formatted("h", "1s", "s") + "}}}";
+        assertThat(check("config", change)).containsExactly(
+                "routeTable.r: names service s, which is unknown");
+        assertThat(check("config", change, "--on", base.toString())).isEmpty();
+    }
+
+    @Test
+    void whatCantBeReadIsNoBadFile() throws IOException {
+        check("config", "{}");
+        Files.delete(file);
+        assertThat(Bridge.run(new PrintWriter(new StringWriter()), new PrintWriter(new StringWriter()),
+                "check", "config", file.toString())).isEqualTo(1);
+    }
+}
--- /dev/null
+++ b/src/test/java/larkbank/bridge/QueryTest.java
@@ -0,0 +1,130 @@
+package larkbank.bridge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import larkbank.Addresses;
+import larkbank.bridge.state.Listing;
+import larkbank.bridge.state.StateDesk;
+import larkbank.gangway.Answer;
+import larkbank.gangway.Bounds;
+import larkbank.gangway.Gangway;
+import larkbank.lading.Clock;
+import larkbank.lading.Scribe;
+import larkbank.manifest.Manifest;
+import larkbank.manifest.Order;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Questions go over a socket to the state call and come back as tables. */
+class QueryTest {
+
+    private static final String SECRET = "key-nobody-may-see";
+    private static final MultiThreadIoEventLoopGroup GROUP =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static String at;
+    private static ServerSocket silent;
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    @BeforeAll
+    static void listen() throws IOException {
+        Gangway gangway = Gangway.open(GROUP, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> new Bounds(16_384, 65_536, 5_000, 60_000), new Clock(),
+                new StateDesk(call -> call.answer(Answer.of(418)), QueryTest::state));
+        at = Addresses.text(gangway.address());
+        silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterAll
+    static void end() throws IOException {
+        silent.close();
+        GROUP.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private static Map<String, Object> state(boolean items) {
+        Map<String, Object> state = Scribe.map("kind", "harbour", "name", "h1", "stamp", "3@h1", "open", true,
+                "crew", List.of("a", "b"), "tallies", Map.of("t", 2.5), "berths", List.of(
+                Scribe.map("name", "p2", "server", "s2", "slots", 4), Scribe.map("name", "p1", "slots", 12)));
+        if (items) {
+            state.put("list", Listing.of(manifest()));
+        }
+        return state;
+    }
+
+    private static Manifest manifest() {
+        String route = "{\"hostname\":\"Shop\",\"pathPrefix\":\"%s\",\"routeType\":\"idempotent\","
+                + "\"timeout\":\"1s\",\"targetLatency\":\"50ms\",\"priority\":1,\"service\":\"s\","
+                + "\"maxAttempts\":2,\"configVersion\":\"r7\"}";
+        String change = "{\"upsert\":{\"routeTable\":{\"all\":" + route.formatted("/") + ",\"cart\":"
+                + route.formatted("/cart/") + "},\"tenantTable\":{\"t\":{\"apiKeys\":[\"" + SECRET
+                + "\"],\"configVersion\":\"r1\"}}}}";
+        return Manifest.of(Order.read(change.getBytes(StandardCharsets.UTF_8)).get().items());
+    }
+
+    /** Waits for so long that a busy machine changes nothing. */
+    private int ask(String... args) {
+        List<String> all = new ArrayList<>(List.of(args));
+        all.addAll(List.of("--timeout", "30000"));
+        return run(all.toArray(String[]::new));
+    }
+
+    private int run(String... args) {
+        return Bridge.run(new PrintWriter(out, true), new PrintWriter(err, true), args);
+    }
+
+    @Test
+    void theFleetComesAsATable() {
+        assertThat(ask("fleet", "--at", at, "--columns", "pilot,server,slots", "--sort", "slots")).isZero();
+        assertThat(out.toString().lines()).containsExactly("pilot  server  slots", "p2     s2          4",
+                "p1                12");
+        assertThat(err.toString()).isEmpty();
+    }
+
+    @Test
+    void theLongestPrefixTakesARequestAndKeysAreNotTold() {
+        assertThat(ask("route", "shop", "/cart/7?x", "--at", at, "--json")).isZero();
+        assertThat(out.toString()).contains("\"route\":\"cart\"", "\"to\":\"s\"", "\"silent\":[]");
+        assertThat(ask("route", "other", "/", "--at", at)).isEqualTo(4);
+        assertThat(ask("items", "--at", at, "--where", "table=tenantTable")).isZero();
+        assertThat(out.toString()).contains("r1").doesNotContain(SECRET);
+    }
+
+    @Test
+    void whoDoesNotAnswerIsNamed() throws IOException {
+        ServerSocket closed = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        String nobody = Addresses.text((InetSocketAddress) closed.getLocalSocketAddress());
+        closed.close();
+        assertThat(ask("copies", "--at", at, "--at", nobody)).isEqualTo(3);
+        assertThat(out.toString()).contains("3@h1");
+        String mute = Addresses.text((InetSocketAddress) silent.getLocalSocketAddress());
+        assertThat(run("tallies", "--at", mute, "--timeout", "100")).isEqualTo(1);
+        assertThat(err.toString().lines()).containsExactly("cypressweir: " + nobody + ": nobody listens",
+                "cypressweir: " + mute + ": no answer in 100 ms");
+    }
+
+    @Test
+    void wrongUseIsOneLine() {
+        assertThat(run("fleet", "--at", at, "--sort", "colour")).isEqualTo(2);
+        assertThat(run("fleet", "--at", "here")).isEqualTo(2);
+        assertThat(run("copies", "--at", at, "--where", "name")).isEqualTo(2);
+        assertThat(run("sail")).isEqualTo(2);
+        assertThat(run()).isEqualTo(2);
+        assertThat(err.toString().lines()).hasSize(5).allMatch(line -> line.startsWith("cypressweir: "));
+        assertThat(run("--help")).isZero();
+        assertThat(run("--version")).isZero();
+    }
+}
