--- a/src/test/java/larkbank/pilot/MeshTest.java
+++ b/src/test/java/larkbank/pilot/MeshTest.java
@@ -250,8 +250,8 @@
     }
 
     /**
-     * Asks on and on until nobody listens there. A connection that the system reset before the pilot had it is
-     * no loss: what was asked on it was not read, and no server has run it.
+     * Asks on and on until nobody listens there. A connection that the system reset before the pilot had it
+     * is no loss: what was asked on it was not read, and no server has run it.
      */
     private static void load(String pilot, Queue<String> wrong, AtomicInteger served, CountDownLatch warm) {
         while (!Thread.currentThread().isInterrupted()) {
