What a process tells of its state moves to larkbank.logbook, below both programs

Need: programs named the bridge's package, so an arrow ran upward. Ruled out: lading (it would have to know gangway and manifest).

--- a/src/main/java/larkbank/harbour/HarbourState.java
+++ b/src/main/java/larkbank/harbour/HarbourState.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import larkbank.berth.Berth;
 import larkbank.berth.Ship;
-import larkbank.bridge.state.Listing;
 import larkbank.copies.Copies;
 import larkbank.lading.Scribe;
+import larkbank.logbook.Listing;
 import larkbank.manifest.Manifest;
 
 /** What operators are told of a harbour. */
--- a/src/main/java/larkbank/bridge/state/Listing.java
+++ b/src/main/java/larkbank/logbook/Listing.java
@@ -1,4 +1,4 @@
-package larkbank.bridge.state;
+package larkbank.logbook;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/larkbank/bridge/state/StateDesk.java
+++ b/src/main/java/larkbank/logbook/StateDesk.java
@@ -1,4 +1,4 @@
-package larkbank.bridge.state;
+package larkbank.logbook;
 
 import java.util.List;
 import java.util.Map;
