The mesh's twins become one: start of both programs, times, a call's path, JSON answers, reach of a peer

Cause: the change read whole once more. What stood twice: the start of pilot and harbour (settings file, faults, SIGHUP, seeds) is papers.Boot and NodePapers.seedLines; times of settings and of configurations are papers.Duration; the path without its query (four places) is Call.path; a JSON answer (three) Answer.json; whether a peer is reached (Pilot, PilotState) and the bound on connections (two) stand once in Pilot; commands that ask an operators' door share DoorCommand, tests of crews CrewCase. Dead: Lookout.hears, Passage.service, a cast and a wrapper in Following. A request no longer makes a set of all results anew. A time of settings is cut to whole microseconds now as one of a configuration is, where it was rounded before. Ruled out: one reader of JSON for both (papers.Sheets takes what manifest.JsonText turns down), one Duration with larkbank.operators (it knows us and m, too), the strict decoders of gangway and quay with the sidecar's; in ROADMAP.

--- a/src/main/java/larkbank/cli/LeaseRunCommand.java
+++ b/src/main/java/larkbank/cli/LeaseRunCommand.java
@@ -3,22 +3,18 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import larkbank.Addresses;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine.Spec;
 
 /** {@code lease run --door ADDRESS NAME -- COMMAND...}: a command that runs only while a lease is held. */
 @Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
         name = "run", description = "Run a command while the sidecar holds a lease, and end it before the"
         + " lease is over. Exit status: the command's own; 73 where the lease is not held, 74 where it was"
         + " lost and the command was ended, 1 where the sidecar can't be asked, 2 for a bad command line.")
-final class LeaseRunCommand implements Callable<Integer> {
+final class LeaseRunCommand extends DoorCommand {
 
     static final int NOT_HELD = 73;
     static final int LOST = 74;
@@ -28,13 +24,6 @@
     private static final long STOP_MILLIS = 500;
     private static final long SPARE_MILLIS = 200;
 
-    @Spec
-    private CommandSpec command;
-
-    @Option(names = "--door", paramLabel = "ADDRESS", required = true,
-            description = "the sidecar's operators' door, address:port")
-    private String door;
-
     @Option(names = "--wait", description = "wait until the lease is held, however long that takes")
     private boolean waits;
 
@@ -52,19 +41,13 @@
     }
 
     @Override
-    public Integer call() throws InterruptedException {
-        InetSocketAddress address;
-        try {
-            address = Addresses.parse(door);
-        } catch (IllegalArgumentException e) {
-            return say("--door: " + e.getMessage(), CommandLineTool.BAD);
-        }
+    int work(InetSocketAddress address) throws InterruptedException {
         Answer first;
         while (true) {
             try {
                 first = ask(address);
             } catch (IOException e) {
-                return say("the door at " + door + " can't be asked: " + e.getMessage(), 1);
+                return say("the door at " + door() + " can't be asked: " + e.getMessage(), 1);
             }
             if (first.held() && left(first) > STOP_MILLIS + SPARE_MILLIS) {
                 break;
@@ -151,9 +134,4 @@
             throw new IOException("no answer of a door", e);
         }
     }
-
-    private int say(String why, int status) {
-        command.commandLine().getErr().println("larkbank: " + why);
-        return status;
-    }
 }
--- a/src/main/java/larkbank/cli/MembersCommand.java
+++ b/src/main/java/larkbank/cli/MembersCommand.java
@@ -7,41 +7,24 @@
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import larkbank.Addresses;
 import larkbank.Json;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
 
 /** {@code members --door ADDRESS}: who is there, as one sidecar sees it. */
 @Command(mixinStandardHelpOptions = true, versionProvider = Version.class,
         name = "members", description = "Print the members of a fleet as one sidecar sees them: exit status"
         + " 0, 1 where it can't be asked or takes no part, 2 for a bad command line.")
-final class MembersCommand implements Callable<Integer> {
+final class MembersCommand extends DoorCommand {
 
     private static final int PATIENCE_MILLIS = 2_000;
 
-    @Spec
-    private CommandSpec command;
-
-    @Option(names = "--door", paramLabel = "ADDRESS", required = true,
-            description = "the sidecar's operators' door, address:port")
-    private String door;
-
     @Option(names = "--watch", description = "print again every second until interrupted")
     private boolean watch;
 
     @Override
-    public Integer call() throws InterruptedException {
-        InetSocketAddress address;
-        try {
-            address = Addresses.parse(door);
-        } catch (IllegalArgumentException e) {
-            return say("--door: " + e.getMessage(), CommandLineTool.BAD);
-        }
+    int work(InetSocketAddress address) throws InterruptedException {
         int status = print(address);
         while (watch) {
             TimeUnit.SECONDS.sleep(1);
@@ -50,33 +33,28 @@
         return status;
     }
 
-    private int say(String why, int status) {
-        command.commandLine().getErr().println("larkbank: " + why);
-        return status;
-    }
-
     private int print(InetSocketAddress address) {
         String said;
         try {
             said = new Door(address, PATIENCE_MILLIS).ask("MEMBERS");
         } catch (IOException e) {
-            return say("the door at " + door + " can't be asked: " + e.getMessage(), 1);
+            return say("the door at " + door() + " can't be asked: " + e.getMessage(), 1);
         }
         int end = said.indexOf('\n');
         String first = end < 0 ? said : said.substring(0, end);
         if (!first.startsWith("{")) {
-            return say("the sidecar at " + door + " says: " + first, 1);
+            return say("the sidecar at " + door() + " says: " + first, 1);
         }
         try (JsonParser parser = new JsonFactory().createParser(first)) {
             table(Json.document(parser));
             return 0;
         } catch (IOException e) {
-            return say("the door at " + door + " gave no table: " + e.getMessage(), 1);
+            return say("the door at " + door() + " gave no table: " + e.getMessage(), 1);
         }
     }
 
     private void table(Map<?, ?> m) {
-        PrintWriter out = command.commandLine().getOut();
+        PrintWriter out = commandLine().getOut();
         out.println("as " + m.get("self") + " sees it, incarnation " + m.get("incarnation") + ": "
                 + m.get("live") + " live");
         if (m.get("share") instanceof Map<?, ?> share) {
--- a/src/main/java/larkbank/gangway/Answer.java
+++ b/src/main/java/larkbank/gangway/Answer.java
@@ -24,6 +24,11 @@
                 (reason + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    /** A JSON text. */
+    public static Answer json(int status, byte[] body) {
+        return new Answer(status, List.of(Map.entry("Content-Type", "application/json")), body);
+    }
+
     /** The same with one more header behind the others. */
     public Answer withHeader(String name, String value) {
         List<Map.Entry<String, String>> more = new ArrayList<>(headers);
--- a/src/main/java/larkbank/gangway/Call.java
+++ b/src/main/java/larkbank/gangway/Call.java
@@ -12,6 +12,12 @@
     /** Path and query as received; without scheme and host where the target had them; "*" of OPTIONS. */
     String uri();
 
+    /** The target without its query. */
+    default String path() {
+        int query = uri().indexOf('?');
+        return query < 0 ? uri() : uri().substring(0, query);
+    }
+
     /** In small letters, without the port; empty only for HTTP/1.0 without one. */
     String host();
 
--- a/src/main/java/larkbank/harbour/Harbour.java
+++ b/src/main/java/larkbank/harbour/Harbour.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -21,7 +21,6 @@
 import larkbank.copies.Copies;
 import larkbank.copies.CopiesPlan;
 import larkbank.copies.Standing;
-import larkbank.daily.Hangup;
 import larkbank.gangway.Bounds;
 import larkbank.gangway.Gangway;
 import larkbank.hold.Store;
@@ -33,6 +32,7 @@
 import larkbank.lading.Scribe;
 import larkbank.lading.Wharf;
 import larkbank.logbook.StateDesk;
+import larkbank.papers.Boot;
 import larkbank.papers.NodePapers;
 import larkbank.papers.Watched;
 import org.jboss.logging.Logger;
@@ -74,50 +74,23 @@
         this.papers = papers;
         this.file = file;
         own = papers.lines(papers.ip());
-        seeds = seeds(papers);
+        seeds = List.copyOf(papers.seedLines());
         others = new Moorings(wharf, clock, LINES,
                 () -> Scribe.map("t", "hello", "kind", "harbour", "address", own), new Others());
     }
 
-    private static List<String> seeds(NodePapers papers) {
-        return papers.seeds().stream().map(s -> papers.lines(s.substring(0, s.lastIndexOf(':'))))
-                .distinct().sorted().toList();
-    }
-
     /** Runs until the process is ended; a status above 0 where it can't start. */
     public static int run(Map<String, String> env, PrintStream err) {
         Logs.open(err, false);
-        String named = env.get("CYPRESSWEIR_NODE_FILE");
-        if (named == null) {
-            err.println("harbour: CYPRESSWEIR_NODE_FILE is not set");
-            return 2;
-        }
-        Watched file = new Watched(Path.of(named));
-        Either<List<String>, NodePapers> papers = file.first();
-        if (papers.isLeft() || papers.get().dataDirectory() == null
-                || !papers.get().listen().containsKey("controlPlane")) {
-            papers.peekLeft(lines -> lines.forEach(err::println));
-            papers.forEach(p -> err.println(named + ": a harbour wants localNode.dataDirectory and "
-                    + "network.listenAddresses.controlPlane"));
-            return 2;
-        }
-        try {
-            new Harbour(papers.get(), file).serve();
-            return 0;
-        } catch (IOException e) {
-            err.println("harbour: " + e.getMessage());
-            return 1;
-        }
+        return Boot.run("harbour", env, err, papers -> Option.when(papers.dataDirectory() == null
+                        || !papers.listen().containsKey("controlPlane"),
+                "localNode.dataDirectory and network.listenAddresses.controlPlane"),
+                (papers, file) -> new Harbour(papers, file).serve());
     }
 
     private void serve() throws IOException {
         CountDownLatch ended = new CountDownLatch(1);
-        try {
-            Hangup.handle(() -> disk.execute(
-                    () -> file.look(true, next -> loop.execute(() -> seeds = seeds(next)))));
-        } catch (ReflectiveOperationException e) {
-            LOG.warn("SIGHUP can't be heard here: " + e + ". A changed file is seen all the same.");
-        }
+        Boot.onHangup(() -> look(true));
         Runtime.getRuntime().addShutdownHook(new Thread(ended::countDown, "end"));
         disk.execute(this::openStore);
         wharf.listen(Addresses.parse(own), new Lines());
@@ -168,13 +141,19 @@
                 news.tellTallies();
             }
             if (ticks % TICKS_A_LOOK == 0) {
-                disk.execute(() -> file.look(false, next -> loop.execute(() -> seeds = seeds(next))));
+                look(false);
             }
         } catch (RuntimeException | Error e) {
             LOG.error("A tick failed.", e);
         }
     }
 
+    /** Reads the settings anew where they are others. */
+    private void look(boolean signalled) {
+        disk.execute(() -> file.look(signalled,
+                next -> loop.execute(() -> seeds = List.copyOf(next.seedLines()))));
+    }
+
     private void wantOthers() {
         Set<String> wanted = new HashSet<>(seeds);
         wanted.addAll(keeping.copies().crew());
--- a/src/main/java/larkbank/harbour/OperatorDesk.java
+++ b/src/main/java/larkbank/harbour/OperatorDesk.java
@@ -36,8 +36,7 @@
 
     @Override
     public void called(Call call) {
-        String path = path(call.uri());
-        Optional<Calls> known = Calls.of(path);
+        Optional<Calls> known = Calls.of(call.path());
         if (known.isEmpty()) {
             call.answer(fault(Fault.NO_CALL, "no such call"));
         } else if (!known.get().method().equals(call.method())) {
@@ -54,11 +53,6 @@
         }
     }
 
-    private static String path(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
     private void modify(Call call) {
         long begun = micros.getAsLong();
         Order.read(call.body()).peekLeft(refusal -> call.answer(refused(refusal))).forEach(order ->
@@ -100,8 +94,7 @@
     }
 
     private static Answer json(int status, Map<String, Object> body) {
-        return new Answer(status, java.util.List.of(Map.entry("Content-Type", "application/json")),
-                Scribe.bytes(body));
+        return Answer.json(status, Scribe.bytes(body));
     }
 
     private static Answer fault(Fault fault, String reason) {
--- a/src/main/java/larkbank/logbook/StateDesk.java
+++ b/src/main/java/larkbank/logbook/StateDesk.java
@@ -1,6 +1,5 @@
 package larkbank.logbook;
 
-import java.util.List;
 import java.util.Map;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Call;
@@ -29,14 +28,11 @@
 
     @Override
     public void called(Call call) {
-        int query = call.uri().indexOf('?');
-        String path = query < 0 ? call.uri() : call.uri().substring(0, query);
-        if (!call.method().equals(Calls.STATE.method()) || Calls.STATE.name(path).isEmpty()) {
+        if (!call.method().equals(Calls.STATE.method()) || Calls.STATE.name(call.path()).isEmpty()) {
             others.called(call);
             return;
         }
-        boolean items = query >= 0 && call.uri().startsWith(ITEMS, query);
-        call.answer(new Answer(200, List.of(Map.entry("Content-Type", "application/json")),
-                Scribe.bytes(teller.state(items))));
+        boolean items = call.uri().startsWith(ITEMS, call.path().length());
+        call.answer(Answer.json(200, Scribe.bytes(teller.state(items))));
     }
 }
--- a/src/main/java/larkbank/manifest/Fields.java
+++ b/src/main/java/larkbank/manifest/Fields.java
@@ -1,16 +1,15 @@
 package larkbank.manifest;
 
+import io.vavr.control.Option;
 import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import larkbank.papers.Duration;
 
 /** Typed fields of an item's content. What is wrong is thrown as {@link Bad}, which names the place. */
 final class Fields {
 
     static final long LONGEST_MICROS = 600_000_000;
-    private static final Pattern TIME = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,9})?)(ms|s)");
 
     /** A field that is missing or wrong. */
     static final class Bad extends Exception {
@@ -53,13 +52,11 @@
 
     /** Microseconds, above 0 and at most ten minutes. */
     long time(String name) throws Bad {
-        String text = text(name);
-        Matcher matcher = TIME.matcher(text);
-        if (!matcher.matches()) {
+        Option<Long> time = Duration.micros(text(name));
+        if (time.isEmpty()) {
             throw bad(name, "must be a time such as 1500ms or 2.5s");
         }
-        long unit = matcher.group(2).equals("s") ? 1_000_000 : 1_000;
-        long micros = new BigDecimal(matcher.group(1)).multiply(BigDecimal.valueOf(unit)).longValue();
+        long micros = time.get();
         if (micros <= 0 || micros > LONGEST_MICROS) {
             throw bad(name, "must be above 0 and at most ten minutes");
         }
--- a/src/main/java/larkbank/papers/Duration.java
+++ b/src/main/java/larkbank/papers/Duration.java
@@ -1,6 +1,7 @@
 package larkbank.papers;
 
 import io.vavr.control.Option;
+import java.math.BigDecimal;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -11,10 +12,13 @@
 
     private Duration() { }
 
-    /** Microseconds of such a text; nothing where it is none. */
+    /** Whole microseconds of such a text; nothing where it is none. */
     public static Option<Long> micros(String text) {
         Matcher matcher = TIME.matcher(text);
-        return matcher.matches() ? Option.some(Math.round(Double.parseDouble(matcher.group(1))
-                * (matcher.group(2).equals("ms") ? 1e3 : 1e6))) : Option.none();
+        if (!matcher.matches()) {
+            return Option.none();
+        }
+        long unit = matcher.group(2).equals("s") ? 1_000_000 : 1_000;
+        return Option.some(new BigDecimal(matcher.group(1)).multiply(BigDecimal.valueOf(unit)).longValue());
     }
 }
--- a/src/main/java/larkbank/papers/NodePapers.java
+++ b/src/main/java/larkbank/papers/NodePapers.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What a process is told of itself, its machine and the terms that hold. Unknown fields are let be.
@@ -66,6 +68,13 @@
         return bounds.getOrDefault(name, otherwise);
     }
 
+    /** Where harbours are reached that the file names. */
+    public Set<String> seedLines() {
+        Set<String> lines = new TreeSet<>();
+        seeds.forEach(s -> lines.add(lines(s.substring(0, s.lastIndexOf(':')))));
+        return lines;
+    }
+
     /** Where processes of the mesh reach each other, on any machine. */
     public String lines(String otherIp) {
         return otherIp + ":" + firstPort;
--- a/src/main/java/larkbank/pilot/Following.java
+++ b/src/main/java/larkbank/pilot/Following.java
@@ -18,14 +18,10 @@
 
     private static final long PATIENCE = 300_000;
 
-    private static final class Pieces {
-        private final Map<Integer, List<Item>> parts = new HashMap<>();
-    }
-
     private Stamp stamp = Stamp.ZERO;
     private Manifest manifest = Manifest.EMPTY;
     private final Map<String, Stamp> shown = new HashMap<>();
-    private final Map<String, Pieces> coming = new HashMap<>();
+    private final Map<String, Map<Integer, List<Item>>> coming = new HashMap<>();
     private String asked;
     private long askedAt;
 
@@ -81,28 +77,24 @@
             return false;
         }
         askedAt += PATIENCE / 3;
-        Pieces pieces = coming.computeIfAbsent(harbour + " " + from + " " + to, k -> new Pieces());
+        Map<Integer, List<Item>> pieces =
+                coming.computeIfAbsent(harbour + " " + from + " " + to, k -> new HashMap<>());
         List<Item> items = new ArrayList<>();
         for (Object one : Json.array(head, "items")) {
             if (one instanceof Map<?, ?> map) {
-                items.add(Item.of(cast(map)));
+                items.add(Item.of(map));
             }
         }
-        pieces.parts.put((int) Json.whole(head, "piece", 0), items);
-        if (pieces.parts.size() < Json.whole(head, "pieces", 1)) {
+        pieces.put((int) Json.whole(head, "piece", 0), items);
+        if (pieces.size() < Json.whole(head, "pieces", 1)) {
             return false;
         }
         List<Item> all = new ArrayList<>();
-        pieces.parts.values().forEach(all::addAll);
+        pieces.values().forEach(all::addAll);
         manifest = (from.isEmpty() ? Manifest.EMPTY : manifest).with(all);
         stamp = to;
         coming.clear();
         asked = null;
         return true;
     }
-
-    @SuppressWarnings("unchecked")
-    private static Map<String, Object> cast(Map<?, ?> map) {
-        return (Map<String, Object>) map;
-    }
 }
--- a/src/main/java/larkbank/pilot/Front.java
+++ b/src/main/java/larkbank/pilot/Front.java
@@ -60,8 +60,7 @@
             refuse(call, Fault.NOT_READY, 300_000);
             return;
         }
-        int query = call.uri().indexOf('?');
-        RouteTerms route = now.route(call.host(), query < 0 ? call.uri() : call.uri().substring(0, query));
+        RouteTerms route = now.route(call.host(), call.path());
         if (route == null) {
             refuse(call, Fault.NO_ROUTE, 0);
             return;
@@ -109,7 +108,7 @@
             headers.add(Map.entry(TENANT, tenant.name()));
         }
         helm.take(new Passage(Long.toString(++numbers), call, id, route,
-                tenant == null ? null : tenant.name(), service, rank, tenant == null, arrived, aimAt,
+                tenant == null ? null : tenant.name(), rank, tenant == null, arrived, aimAt,
                 deadline, headers));
     }
 
--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
-import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import larkbank.Choice;
@@ -139,7 +137,7 @@
                 TimeUnit.MICROSECONDS);
         long aim = passage.aimAt - passage.arrivedAt;
         Terms terms = new Terms(Math.max(1, passage.route.maxAttempts()), 0,
-                Set.copyOf(EnumSet.allOf(Result.class)), passage.route.repeatable() && !passage.inner ? 1 : 0,
+                Terms.NONE.retryOn(), passage.route.repeatable() && !passage.inner ? 1 : 0,
                 (long) (COPY_AFTER * aim), List.of(), false);
         int tenant = passage.tenant == null ? 0 : (int) (Ids.of(passage.tenant) % TENANTS);
         choice.request(now, new Request(passage.number, kind(passage), tenant, false, -1, passage.deadline, 0,
--- a/src/main/java/larkbank/pilot/Hops.java
+++ b/src/main/java/larkbank/pilot/Hops.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -163,8 +162,7 @@
         long now = micros.getAsLong();
         boolean ping = now - pingedAt > PING;
         List<Line> asked = new ArrayList<>();
-        for (Iterator<Out> each = List.copyOf(out.values()).iterator(); each.hasNext();) {
-            Out one = each.next();
+        for (Out one : List.copyOf(out.values())) {
             long silence = now - Math.max(one.line.heardAt(), one.sentAt);
             if (silence > SILENCE && one.repeatable) {
                 over(one.number, new Reply(new Outcome.MayHaveRun("nothing is heard"), null));
--- a/src/main/java/larkbank/pilot/Lookout.java
+++ b/src/main/java/larkbank/pilot/Lookout.java
@@ -130,11 +130,6 @@
         return all;
     }
 
-    /** Whether any harbour is heard. */
-    boolean hears() {
-        return !heard.isEmpty();
-    }
-
     @Override
     public void up(String address, Line line) {
         tell(line);
--- a/src/main/java/larkbank/pilot/Passage.java
+++ b/src/main/java/larkbank/pilot/Passage.java
@@ -36,7 +36,6 @@
     final String id;
     final RouteTerms route;
     final String tenant;
-    final String service;
     final int rank;
     final boolean inner;
     final long arrivedAt;
@@ -50,7 +49,7 @@
     ScheduledFuture<?> atDeadline;
     ScheduledFuture<?> patience;
 
-    Passage(String number, Call call, String id, RouteTerms route, String tenant, String service, int rank,
+    Passage(String number, Call call, String id, RouteTerms route, String tenant, int rank,
             boolean inner, long arrivedAt, long aimAt, long deadline,
             List<Map.Entry<String, String>> headers) {
         this.number = number;
@@ -58,7 +57,6 @@
         this.id = id;
         this.route = route;
         this.tenant = tenant;
-        this.service = service;
         this.rank = rank;
         this.inner = inner;
         this.arrivedAt = arrivedAt;
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -3,14 +3,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,10 +16,10 @@
 import java.util.concurrent.TimeUnit;
 import larkbank.Addresses;
 import larkbank.Ids;
+import larkbank.Json;
 import larkbank.berth.Berth;
 import larkbank.berth.Roster;
 import larkbank.berth.Ship;
-import larkbank.daily.Hangup;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Bounds;
 import larkbank.gangway.Gangway;
@@ -35,6 +33,7 @@
 import larkbank.lading.Wharf;
 import larkbank.logbook.StateDesk;
 import larkbank.manifest.ClientLimits;
+import larkbank.papers.Boot;
 import larkbank.papers.NodePapers;
 import larkbank.papers.Watched;
 import larkbank.quay.Life;
@@ -112,46 +111,27 @@
     /** Runs until the process is ended; a status above 0 where it can't start. */
     public static int run(Map<String, String> env, PrintStream err) {
         Logs.open(err, false);
-        String named = env.get("CYPRESSWEIR_NODE_FILE");
-        if (named == null) {
-            err.println("pilot: CYPRESSWEIR_NODE_FILE is not set");
-            return 2;
-        }
-        Watched file = new Watched(Path.of(named));
-        Either<List<String>, NodePapers> papers = file.first();
-        if (papers.isLeft()) {
-            papers.getLeft().forEach(err::println);
-            return 2;
-        }
+        return Boot.run("pilot", env, err, Pilot::lacks, (papers, file) -> new Pilot(papers, file).serve());
+    }
+
+    private static Option<String> lacks(NodePapers papers) {
         for (String listen : List.of("outbound", "readiness", "controlPlane")) {
-            if (!papers.get().listen().containsKey(listen) || papers.get().application() == null) {
-                err.println(named + ": a pilot wants localNode.application and network.listenAddresses."
-                        + listen);
-                return 2;
+            if (!papers.listen().containsKey(listen) || papers.application() == null) {
+                return Option.some("localNode.application and network.listenAddresses." + listen);
             }
         }
-        try {
-            new Pilot(papers.get(), file).serve();
-            return 0;
-        } catch (IOException e) {
-            err.println("pilot: " + e.getMessage());
-            return 1;
-        }
+        return Option.none();
     }
 
     private void serve() throws IOException {
         CountDownLatch ended = new CountDownLatch(1);
-        try {
-            Hangup.handle(() -> loop.execute(() -> file.look(true, this::newPapers)));
-        } catch (ReflectiveOperationException e) {
-            LOG.warn("SIGHUP can't be heard here: " + e + ". A changed file is seen all the same.");
-        }
+        Boot.onHangup(() -> loop.execute(() -> file.look(true, this::newPapers)));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(ended), "end"));
         Map<String, String> listen = papers.listen();
         Gangway.open(group, Addresses.parse(listen.get("controlPlane")), () -> OWN_CALLS, clock,
                 new StateDesk(ships, this::state));
         wharf.listen(Addresses.parse(own), landing);
-        loop.execute(() -> lookout.seeds(seeds(papers)));
+        loop.execute(() -> lookout.seeds(papers.seedLines()));
         Gangway.open(group, Addresses.parse(listen.get("readiness")), () -> OWN_CALLS, clock, call ->
                 call.answer(Calls.READINESS.name(call.uri()).isEmpty() ? Answers.of(Fault.NO_CALL)
                         : isReady() ? Answer.of(200) : Answers.of(Fault.NOT_READY, 500_000)));
@@ -165,12 +145,6 @@
         }
     }
 
-    private static Set<String> seeds(NodePapers papers) {
-        Set<String> seeds = new LinkedHashSet<>();
-        papers.seeds().forEach(s -> seeds.add(papers.lines(s.substring(0, s.lastIndexOf(':')))));
-        return seeds;
-    }
-
     private Bounds bounds() {
         ClientLimits limits = bearings.limits();
         return new Bounds(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.headerTimeoutMicros() / 1000,
@@ -194,7 +168,10 @@
 
     private void newBearings() {
         bearings = new Bearings(following.stamp(), following.manifest());
-        Ship ship = ships.ship();
+        boundConnections(ships.ship());
+    }
+
+    private void boundConnections(Ship ship) {
         if (ship != null && bearings.connections(ship.service()) > 0) {
             quay.maxConnections(bearings.connections(ship.service()));
         }
@@ -203,9 +180,7 @@
     private void shipChanged(Ship ship) {
         quay.life(ship == null ? null : new Life(ship.id(), ship.service(), ship.slots(), ship.draining(),
                 ship.warmAt()));
-        if (ship != null && bearings.connections(ship.service()) > 0) {
-            quay.maxConnections(bearings.connections(ship.service()));
-        }
+        boundConnections(ship);
         roster.told(ships.berth());
         landing.tell();
         lookout.tell();
@@ -246,10 +221,16 @@
     private void newPapers(NodePapers next) {
         papers = next;
         ships.papers(next);
-        lookout.seeds(seeds(next));
+        lookout.seeds(next.seedLines());
         shipChanged(ships.ship());
     }
 
+    /** Whether this is the own machine, or there is a line to it. */
+    private boolean reaches(Berth berth) {
+        return berth.address().equals(own)
+                || peers.line(berth.address()) != null && !down.contains(berth.address());
+    }
+
     /** Another list of servers: each service's way learns of it; peers get their lines. */
     private void newList() {
         Set<String> addresses = new HashSet<>();
@@ -265,8 +246,7 @@
                 helm(helms, berth.ship().service());
                 helm(inner, berth.ship().service());
             }
-            if (berth.takes() && (mine || peers.line(berth.address()) != null
-                    && !down.contains(berth.address()))) {
+            if (berth.takes() && reaches(berth)) {
                 targets.computeIfAbsent(berth.ship().service(), s -> new ArrayList<>())
                         .add(new Target(Ids.of(berth.ship().id()), berth.name(), berth.address(),
                                 berth.ship().id(), berth.zone()));
@@ -285,7 +265,7 @@
         PilotState its = new PilotState(clock.getAsLong(), papers.name(), bearings);
         its.harbours(lookout);
         its.peers(peers, down);
-        its.servers(roster, ships.berth(), peers, down, hops);
+        its.servers(roster, ships.berth(), this::reaches, hops);
         its.own(ships.berth(), quay.load());
         its.requests(outbound == null ? 0 : outbound.requestsOpen(), hops.size(), helms);
         its.refusals(front.counts(), helms);
@@ -338,7 +318,7 @@
             if (Scribe.text(head, "t").equals("end")) {
                 hops.heard(head, body);
             } else if (Scribe.text(head, "t").equals("berth")) {
-                Berth berth = Berth.of(larkbank.Json.object(head, "berth"), clock.getAsLong());
+                Berth berth = Berth.of(Json.object(head, "berth"), clock.getAsLong());
                 if (berth != null) {
                     roster.told(berth);
                 }
--- a/src/main/java/larkbank/pilot/PilotState.java
+++ b/src/main/java/larkbank/pilot/PilotState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import larkbank.berth.Berth;
 import larkbank.berth.Roster;
 import larkbank.berth.Ship;
@@ -51,15 +52,14 @@
     }
 
     /** Every server that is known of, with whether it is in the choice. */
-    void servers(Roster roster, Berth own, Moorings peers, Set<String> down, Hops hops) {
+    void servers(Roster roster, Berth own, Predicate<Berth> reaches, Hops hops) {
         Map<String, List<Object>> services = new TreeMap<>();
         for (Berth told : roster.all()) {
             boolean mine = told.name().equals(own.name());
             Berth berth = mine ? own : told;
             Ship ship = berth.ship();
             if (ship != null) {
-                boolean reached = mine || peers.line(berth.address()) != null
-                        && !down.contains(berth.address());
+                boolean reached = reaches.test(berth);
                 services.computeIfAbsent(ship.service(), s -> new ArrayList<>()).add(Scribe.map(
                         "pilot", berth.name(), "zone", berth.zone(), "server", ship.id(),
                         "slots", ship.slots(), "draining", ship.draining(), "leaving", berth.leaving(),
--- a/src/main/java/larkbank/pilot/ShipDesk.java
+++ b/src/main/java/larkbank/pilot/ShipDesk.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -81,15 +80,13 @@
 
     @Override
     public void called(Call call) {
-        int query = call.uri().indexOf('?');
-        String path = query < 0 ? call.uri() : call.uri().substring(0, query);
-        Optional<Calls> known = Calls.of(path);
+        Optional<Calls> known = Calls.of(call.path());
         if (known.isEmpty()) {
             call.answer(Answers.of(Fault.NO_CALL));
         } else if (!known.get().method().equals(call.method())) {
             call.answer(Answers.of(Fault.NO_METHOD));
         } else {
-            String id = known.get().name(path).orElse("");
+            String id = known.get().name(call.path()).orElse("");
             switch (known.get()) {
                 case HEARTBEAT -> beat(call, id);
                 case DEREGISTER -> {
@@ -102,7 +99,7 @@
     }
 
     private static Answer taken() {
-        return new Answer(200, List.of(Map.entry("Content-Type", "application/json")), new byte[] {'{', '}'});
+        return Answer.json(200, new byte[] {'{', '}'});
     }
 
     private void beat(Call call, String id) {
--- a/src/test/java/larkbank/fleet/CrewTest.java
+++ b/src/test/java/larkbank/fleet/CrewTest.java
@@ -13,7 +13,6 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -35,40 +34,17 @@
 import larkbank.testkit.FaultPlan;
 import larkbank.testkit.Platform;
 import larkbank.testkit.Relay;
-import larkbank.testkit.Stub;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Processes of the program among each other, with faults between them. */
 @Timeout(120)
-class CrewTest {
+class CrewTest extends CrewCase {
 
     private static final long PAUSE = 1_000;
     /** Silence of a member that counts, and what a word takes to all: told in the program's own times. */
     private static final long KNOWN = 2 * PAUSE + 1_000;
     private static final int BATCH = 50;
-    /** Until a process has started and found the others. */
-    private static final long STARTED = 15_000;
-
-    @TempDir
-    Path folder;
-
-    private Stub server;
-    private Crew crew;
-
-    @BeforeEach
-    void open() throws Exception {
-        server = new Stub(Stub.serves("ok"));
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        crew.close();
-        server.close();
-    }
 
     private void crew(int members) throws Exception {
         long seed = System.nanoTime();
--- a/src/test/java/larkbank/fleet/LeaseCrewTest.java
+++ b/src/test/java/larkbank/fleet/LeaseCrewTest.java
@@ -15,39 +15,17 @@
 import larkbank.testkit.Actors;
 import larkbank.testkit.Crew;
 import larkbank.testkit.Relay;
-import larkbank.testkit.Stub;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Leases among processes of the program, with faults between them: two holders never act at once. */
 @Timeout(120)
-class LeaseCrewTest {
+class LeaseCrewTest extends CrewCase {
 
     private static final long PAUSE = 500;
     private static final long TERM = 1_200;
     /** A keeper that has just started says nothing for a term, and then asks the others. */
     private static final long KEEPERS = 2 * TERM;
-    private static final long STARTED = 15_000;
-
-    @TempDir
-    Path folder;
-
-    private Stub server;
-    private Crew crew;
-
-    @BeforeEach
-    void open() throws Exception {
-        server = new Stub(Stub.serves("ok"));
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        crew.close();
-        server.close();
-    }
 
     private static String file(Crew crew, String text, int... keepers) {
         return text + "[keepers]\naddresses = [" + addresses(crew, keepers) + "]\n[leases.job]\nterm = \""
--- a/src/test/java/larkbank/pilot/Hull.java
+++ b/src/test/java/larkbank/pilot/Hull.java
@@ -168,7 +168,7 @@
         RouteTerms route = new RouteTerms("r", "a", "/", repeatable, LEFT, AIM, 1,
                 List.of(new Split("s", 1)), 3, false);
         String number = Long.toString(++numbers);
-        helm.take(new Passage(number, client, "id" + number, route, "t", "s", 1, false, now, now + AIM,
+        helm.take(new Passage(number, client, "id" + number, route, "t", 1, false, now, now + AIM,
                 now + LEFT, List.of()));
         advance(0);
         return client;
