--- a/src/main/java/larkbank/berth/Roster.java
+++ b/src/main/java/larkbank/berth/Roster.java
@@ -23,6 +23,10 @@
     private final Map<String, View> views = new HashMap<>();
     private final Map<String, Berth> direct = new HashMap<>();
     private Map<String, Berth> merged = Map.of();
+    /** Something was told since the last merge. */
+    private boolean stale = true;
+    /** When a silent view stops counting; nothing changes by itself before. */
+    private long nextEnd = Long.MAX_VALUE;
 
     /** @param keepMicros for which the view of a harbour that is silent counts beside others' */
     public Roster(long keepMicros) {
@@ -36,6 +40,7 @@
             view.berths.clear();
         }
         view.heard = true;
+        stale = true;
         berths.forEach(b -> view.berths.put(b.name(), b));
         gone.forEach(name -> {
             view.berths.remove(name);
@@ -47,6 +52,7 @@
     public void told(Berth berth) {
         if (berth.isNewer(direct.get(berth.name()))) {
             direct.put(berth.name(), berth);
+            stale = true;
         }
     }
 
@@ -56,6 +62,7 @@
         if (view != null && view.heard) {
             view.heard = false;
             view.lostAt = now;
+            stale = true;
         }
     }
 
@@ -63,14 +70,23 @@
     public void drop(String harbour) {
         if (views.size() > 1) {
             views.remove(harbour);
+            stale = true;
         }
     }
 
     /** All that are there, as they were told of last; whether that has changed since the last call. */
     public boolean merge(long now) {
+        if (!stale && now < nextEnd) {
+            return false;
+        }
+        stale = false;
+        nextEnd = Long.MAX_VALUE;
         boolean any = views.values().stream().anyMatch(v -> v.heard);
         Map<String, Berth> next = new LinkedHashMap<>();
         for (View view : views.values()) {
+            if (!view.heard && any && now - view.lostAt < keep) {
+                nextEnd = Math.min(nextEnd, view.lostAt + keep);
+            }
             if (view.heard || !any || now - view.lostAt < keep) {
                 view.berths.values().forEach(b -> {
                     if (b.isNewer(next.get(b.name()))) {
--- a/src/main/java/larkbank/chart/Editions.java
+++ b/src/main/java/larkbank/chart/Editions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,9 +22,15 @@
 
     private record Step(Stamp from, Collection<Item> changed) { }
 
+    /** What brings somebody to the newest state: the whole, or what has changed since a stamp. */
+    public record News(boolean whole, List<byte[]> pieces) { }
+
     private Stamp stamp = Stamp.ZERO;
     private Manifest manifest = Manifest.EMPTY;
     private final ArrayDeque<Step> steps = new ArrayDeque<>();
+    /** Made once for all who stand at the same place. */
+    private final Map<Stamp, News> news = new HashMap<>();
+    private News whole;
 
     public Stamp stamp() {
         return stamp;
@@ -51,6 +58,22 @@
         }
         stamp = next;
         manifest = its;
+        news.clear();
+        whole = null;
+    }
+
+    /** What somebody at this stamp lacks, ready to go. */
+    public News newsFor(Stamp at) {
+        return news.computeIfAbsent(at, s -> {
+            Collection<Item> changed = since(s);
+            if (changed != null) {
+                return new News(false, Bales.pack(List.copyOf(changed)));
+            }
+            if (whole == null) {
+                whole = new News(true, Bales.pack(manifest.items()));
+            }
+            return whole;
+        });
     }
 
     /** What somebody at this stamp lacks; null where that is not known and the whole has to be told. */
--- a/src/main/java/larkbank/harbour/NewsDesk.java
+++ b/src/main/java/larkbank/harbour/NewsDesk.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,7 +16,6 @@
 import larkbank.copies.Stamp;
 import larkbank.lading.Line;
 import larkbank.lading.Scribe;
-import larkbank.manifest.Item;
 import larkbank.manifest.Manifest;
 import larkbank.tally.Demands;
 import org.jboss.logging.Logger;
@@ -28,7 +26,6 @@
     private static final Logger LOG = Logger.getLogger("berth");
     private static final long GRACE = 300_000;
     private static final long SILENT = 2_000_000;
-    private static final int PIECE = 200;
 
     /** What is kept of each pilot's line. */
     private static final class Seat {
@@ -191,22 +188,12 @@
         if (has == null || editions.stamp().compareTo(has) <= 0) {
             return;
         }
-        Collection<Item> changed = editions.since(has);
-        boolean whole = changed == null;
-        List<Item> items = List.copyOf(whole ? editions.manifest().items() : changed);
-        int pieces = Math.max(1, (items.size() + PIECE - 1) / PIECE);
+        Editions.News news = editions.newsFor(has);
+        int pieces = news.pieces().size();
         for (int i = 0; i < pieces; i++) {
-            List<Object> part = new ArrayList<>();
-            items.subList(i * PIECE, Math.min(items.size(), (i + 1) * PIECE))
-                    .forEach(item -> part.add(item.toMap()));
-            Map<String, Object> told = new HashMap<>();
-            told.put("t", "items");
-            told.put("stamp", editions.stamp().toString());
-            told.put("from", whole ? "" : has.toString());
-            told.put("piece", i);
-            told.put("pieces", pieces);
-            told.put("items", part);
-            line.send(told);
+            line.send(Scribe.map("t", "items", "stamp", editions.stamp().toString(),
+                    "from", news.whole() ? "" : has.toString(), "piece", i, "pieces", pieces),
+                    news.pieces().get(i), null);
         }
     }
 }
--- a/src/main/java/larkbank/lading/Moorings.java
+++ b/src/main/java/larkbank/lading/Moorings.java
@@ -17,6 +17,9 @@
  */
 public final class Moorings {
 
+    /** So many lines have the plan's times; more have longer ones. */
+    private static final int FEW = 12;
+
     /** What holds for all lines here; times in microseconds. */
     public record Plan(long pingAfter, long silentAfter, long givenUpAfter, long redial, long mostRedial,
             int connectMillis) { }
@@ -103,21 +106,21 @@
                 if (now >= dialAt) {
                     dial();
                 }
-            } else if (now - line.heardAt() > plan.silentAfter()) {
+            } else if (now - line.heardAt() > stretched(plan.silentAfter())) {
                 if (now >= dialAt) {
-                    dialAt = now + plan.silentAfter();
+                    dialAt = now + stretched(plan.silentAfter());
                     dial();
                 }
-                if (now - line.heardAt() > plan.givenUpAfter()) {
+                if (now - line.heardAt() > stretched(plan.givenUpAfter())) {
                     line.close();
                 }
-            } else if (now - Math.min(line.heardAt(), line.sentAt()) > plan.pingAfter()
-                    && now - pinged > plan.pingAfter()) {
+            } else if (now - Math.min(line.heardAt(), line.sentAt()) > stretched(plan.pingAfter())
+                    && now - pinged > stretched(plan.pingAfter())) {
                 pinged = now;
                 line.ping();
             }
             for (Line one : List.copyOf(old)) {
-                if (now - one.heardAt() > plan.givenUpAfter()) {
+                if (now - one.heardAt() > stretched(plan.givenUpAfter())) {
                     one.close();
                 }
             }
@@ -176,7 +179,12 @@
     /** Whether there is a line on which something was heard lately, or nothing is owed. */
     public boolean isClear(String address) {
         Line line = line(address);
-        return line != null && micros.getAsLong() - line.heardAt() <= plan.silentAfter();
+        return line != null && micros.getAsLong() - line.heardAt() <= stretched(plan.silentAfter());
+    }
+
+    /** With many lines the times grow, so that the pings of all together stay as rare as those of a few. */
+    private long stretched(long time) {
+        return time * Math.max(FEW, moorings.size()) / FEW;
     }
 
     /** Sends where there is a line; whether there was one. */
--- a/src/main/java/larkbank/pilot/Bearings.java
+++ b/src/main/java/larkbank/pilot/Bearings.java
@@ -1,11 +1,11 @@
 package larkbank.pilot;
 
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Map;
 import larkbank.copies.Stamp;
 import larkbank.manifest.ClientLimits;
 import larkbank.manifest.Item;
-import larkbank.manifest.Key;
 import larkbank.manifest.Manifest;
 import larkbank.manifest.RouteTerms;
 import larkbank.manifest.ServiceTerms;
@@ -21,30 +21,57 @@
     private final Map<String, Map<String, RouteTerms>> routes = new HashMap<>();
     private final Map<String, TenantTerms> keys = new HashMap<>();
     private final Map<String, ServiceTerms> services = new HashMap<>();
+    private final Map<Item, Object> terms = new IdentityHashMap<>();
     private final ClientLimits limits;
     private final boolean keyed;
 
-    Bearings(Stamp stamp, Manifest manifest) {
+    /** What is the same item as before is not read again. */
+    private Bearings(Stamp stamp, Manifest manifest, Map<Item, Object> read) {
         this.stamp = stamp;
         this.manifest = manifest;
-        for (Item item : manifest.standing(Table.ROUTES)) {
-            RouteTerms.of(item).forEach(route -> routes.computeIfAbsent(route.host(), h -> new HashMap<>())
-                    .put(route.prefix(), route));
-        }
-        for (Item item : manifest.standing(Table.TENANTS)) {
-            TenantTerms.of(item).forEach(tenant -> tenant.keys().forEach(key -> keys.put(key, tenant)));
+        ClientLimits its = ClientLimits.USUAL;
+        for (Item item : manifest.items()) {
+            if (!item.withdrawn()) {
+                Object before = read.get(item);
+                Object one = before == null ? terms(item) : before;
+                terms.put(item, one);
+                if (one instanceof ClientLimits told) {
+                    its = told;
+                } else {
+                    add(one);
+                }
+            }
         }
-        for (Item item : manifest.standing(Table.SERVICES)) {
-            ServiceTerms.of(item).forEach(service -> services.put(service.name(), service));
+        limits = its;
+        keyed = terms.keySet().stream().anyMatch(item -> item.key().table() == Table.TENANTS);
+    }
+
+    private static Object terms(Item item) {
+        return (switch (item.key().table()) {
+            case ROUTES -> RouteTerms.of(item);
+            case TENANTS -> TenantTerms.of(item);
+            case SERVICES -> ServiceTerms.of(item);
+            case LIMITS -> ClientLimits.of(item);
+        }).fold(refusal -> refusal, its -> its);
+    }
+
+    private void add(Object one) {
+        if (one instanceof RouteTerms route) {
+            routes.computeIfAbsent(route.host(), h -> new HashMap<>()).put(route.prefix(), route);
+        } else if (one instanceof TenantTerms tenant) {
+            tenant.keys().forEach(key -> keys.put(key, tenant));
+        } else if (one instanceof ServiceTerms service) {
+            services.put(service.name(), service);
         }
-        keyed = !manifest.standing(Table.TENANTS).isEmpty();
-        Item its = manifest.get(new Key(Table.LIMITS, ""));
-        limits = its == null || its.content() == null ? ClientLimits.USUAL
-                : ClientLimits.of(its).getOrElse(ClientLimits.USUAL);
+    }
+
+    /** Those of a later state. */
+    Bearings next(Stamp its, Manifest items) {
+        return new Bearings(its, items, terms);
     }
 
     static Bearings none() {
-        return new Bearings(Stamp.ZERO, Manifest.EMPTY);
+        return new Bearings(Stamp.ZERO, Manifest.EMPTY, Map.of());
     }
 
     Stamp stamp() {
--- a/src/main/java/larkbank/pilot/Following.java
+++ b/src/main/java/larkbank/pilot/Following.java
@@ -16,7 +16,8 @@
  */
 final class Following {
 
-    private static final long PATIENCE = 300_000;
+    /** After so long without a further piece another harbour is asked. */
+    private static final long PATIENCE = 600_000;
 
     private Stamp stamp = Stamp.ZERO;
     private Manifest manifest = Manifest.EMPTY;
@@ -69,22 +70,16 @@
     }
 
     /** A piece of what a harbour tells; whether a newer state is whole now. */
-    boolean told(String harbour, Map<String, Object> head) {
+    boolean told(long now, String harbour, Map<String, Object> head, List<Item> items) {
         Stamp to = Stamp.of(Scribe.text(head, "stamp"));
         String from = Scribe.text(head, "from");
         if (to == null || to.compareTo(stamp) <= 0
                 || !from.isEmpty() && !from.equals(stamp.toString())) {
             return false;
         }
-        askedAt += PATIENCE / 3;
+        askedAt = now;
         Map<Integer, List<Item>> pieces =
                 coming.computeIfAbsent(harbour + " " + from + " " + to, k -> new HashMap<>());
-        List<Item> items = new ArrayList<>();
-        for (Object one : Json.array(head, "items")) {
-            if (one instanceof Map<?, ?> map) {
-                items.add(Item.of(map));
-            }
-        }
         pieces.put((int) Json.whole(head, "piece", 0), items);
         if (pieces.size() < Json.whole(head, "pieces", 1)) {
             return false;
--- a/src/main/java/larkbank/pilot/Lookout.java
+++ b/src/main/java/larkbank/pilot/Lookout.java
@@ -12,6 +12,7 @@
 import larkbank.Json;
 import larkbank.berth.Berth;
 import larkbank.berth.Roster;
+import larkbank.chart.Bales;
 import larkbank.copies.Stamp;
 import larkbank.lading.Line;
 import larkbank.lading.Moorings;
@@ -35,6 +36,7 @@
     private final Following following;
     private final Quotas quotas;
     private final Runnable newBearings;
+    private final Aside aside;
     private final Moorings moorings;
     private final Map<String, Place> places = new HashMap<>();
     private final Set<String> heard = new HashSet<>();
@@ -42,13 +44,14 @@
     private Set<String> crew = Set.of();
 
     Lookout(Wharf wharf, LongSupplier micros, String name, Supplier<Berth> berth, Roster roster,
-            Following following, Quotas quotas, Runnable newBearings) {
+            Following following, Quotas quotas, Aside aside, Runnable newBearings) {
         this.micros = micros;
         this.berth = berth;
         this.roster = roster;
         this.following = following;
         this.quotas = quotas;
         this.newBearings = newBearings;
+        this.aside = aside;
         moorings = new Moorings(wharf, micros, LINES,
                 () -> Scribe.map("t", "hello", "kind", "pilot", "name", name), this);
     }
@@ -166,12 +169,12 @@
                 roster.told(address, Json.flag(head, "whole"), berths, gone);
                 places.put(address, new Place(Json.whole(head, "life", 0), Json.whole(head, "place", -1)));
             }
-            case "items" -> {
-                if (following.told(address, head)) {
+            case "items" -> aside.run(() -> Bales.unpack(body), items -> {
+                if (following.told(micros.getAsLong(), address, head, items)) {
                     LOG.info("The configuration stands at " + following.stamp() + ".");
                     newBearings.run();
                 }
-            }
+            });
             case "tallies" -> quotas.told(now, address, Json.object(head, "asked"));
             default -> { }
         }
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import larkbank.Addresses;
 import larkbank.Ids;
@@ -20,6 +22,7 @@
 import larkbank.berth.Berth;
 import larkbank.berth.Roster;
 import larkbank.berth.Ship;
+import larkbank.copies.Stamp;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Bounds;
 import larkbank.gangway.Gangway;
@@ -33,6 +36,7 @@
 import larkbank.lading.Wharf;
 import larkbank.logbook.StateDesk;
 import larkbank.manifest.ClientLimits;
+import larkbank.manifest.Manifest;
 import larkbank.papers.Boot;
 import larkbank.papers.NodePapers;
 import larkbank.papers.Watched;
@@ -84,7 +88,15 @@
     private final Hops hops;
     private final Lookout lookout;
     private final Front front;
+    private final ExecutorService worker = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "aside");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Aside aside = new Aside(worker, loop);
     private Bearings bearings = Bearings.none();
+    /** What the worker has made last; of the worker alone. */
+    private Bearings newest = bearings;
     private boolean listStale = true;
     private boolean leaving;
     private long ticks;
@@ -103,7 +115,7 @@
                 () -> Scribe.map("t", "hello", "kind", "pilot", "name", papers.name()), new Peers());
         hops = new Hops(clock, own, quay, peers);
         lookout = new Lookout(wharf, clock, papers.name(), ships::berth, roster, following, quotas,
-                this::newBearings);
+                aside, this::newBearings);
         front = new Front(clock, () -> bearings, () -> this.papers.service(), quotas,
                 (service, calls) -> calls ? helm(inner, service) : helm(helms, service));
     }
@@ -166,9 +178,14 @@
         });
     }
 
+    /** The configuration is made ready beside the loop; requests go by the one before until then. */
     private void newBearings() {
-        bearings = new Bearings(following.stamp(), following.manifest());
-        boundConnections(ships.ship());
+        Stamp stamp = following.stamp();
+        Manifest manifest = following.manifest();
+        aside.run(() -> newest = newest.next(stamp, manifest), next -> {
+            bearings = next;
+            boundConnections(ships.ship());
+        });
     }
 
     private void boundConnections(Ship ship) {
