What can't be repeated goes on no connection that was idle for long

A server may drop an idle connection silently and sooner than it says; what is sent on it next is reset and may have run, and for what can't be repeated that is a request lost.

Ruled out: a new connection for each such request (1 to 10 ms of a slot and a price each); a fixed share of what the server says (0.6 of it stands already and is what was seen to be too long).

The quay keeps a bound that it learns: 1 s at first, longer as requests that can be repeated come through after longer idleness, half of the idleness after which one was reset at once, forgotten by doubling each minute, anew for each instance. Where all connections are in use up to the bound, the one that was idle longest makes room.

--- a/src/main/java/larkbank/quay/Berth.java
+++ b/src/main/java/larkbank/quay/Berth.java
@@ -56,6 +56,10 @@
     private Shipment previous;
     /** When it is too old to be used, while it is idle. */
     long idleUntil;
+    /** Since when it is idle. */
+    long idleSince;
+    /** How long it was idle before its last request, zero for its first. */
+    private long wasIdle;
 
     Berth(EventLoop loop, InetSocketAddress to, QuayPlan plan, Owner owner) {
         this.loop = loop;
@@ -106,6 +110,15 @@
         return done;
     }
 
+    long wasIdle() {
+        return wasIdle;
+    }
+
+    /** Whether no byte came since the last request was sent. */
+    boolean isSilent() {
+        return !answerBegan;
+    }
+
     /** Takes no further request once what is in flight has ended. */
     void retire() {
         done = true;
@@ -140,6 +153,7 @@
         handed = false;
         written = false;
         answerBegan = false;
+        wasIdle = idleSince == 0 ? 0 : now - idleSince;
         next.sentAt = now;
         ChannelProgressivePromise promise = channel.newProgressivePromise();
         promise.addListener(new Progress(next));
--- a/src/main/java/larkbank/quay/Berths.java
+++ b/src/main/java/larkbank/quay/Berths.java
@@ -75,9 +75,12 @@
         return failingUntil;
     }
 
-    /** An idle one that is clean and not too old, null for none. It is to be used or put back. */
-    Berth pollIdle(long now) {
-        while (!idle.isEmpty()) {
+    /**
+     * An idle one that is clean, not too old and not idle for longer than so, null for none. It is to be used
+     * or put back.
+     */
+    Berth pollIdle(long now, long longest) {
+        while (!idle.isEmpty() && now - idle.peekLast().idleSince <= longest) {
             Berth last = idle.pollLast();
             if (now < last.idleUntil && last.usable()) {
                 return last;
@@ -87,8 +90,16 @@
         return null;
     }
 
-    void rest(Berth berth, long until) {
+    /** Ends the one that has been idle longest, to make room for a new one, if no other ends already. */
+    void closeOldest() {
+        if (!idle.isEmpty() && open.stream().noneMatch(b -> b.isDone() && !busy.contains(b))) {
+            idle.pollFirst().close();
+        }
+    }
+
+    void rest(Berth berth, long now, long until) {
         busy.remove(berth);
+        berth.idleSince = now;
         berth.idleUntil = until;
         if (berth.isDone() || open.size() > bound()) {
             berth.close();
--- a/src/main/java/larkbank/quay/Pier.java
+++ b/src/main/java/larkbank/quay/Pier.java
@@ -19,6 +19,7 @@
 
     final Stevedore<Shipment> stevedore;
     final Berths berths;
+    private final Lull lull = new Lull();
     private final EventLoop loop;
     private final LongSupplier micros;
     private final QuayPlan plan;
@@ -125,35 +126,47 @@
     /** What waits for a connection to come up takes one that has become idle. */
     private void spareConnecting(long now) {
         for (Berth berth : berths.busy()) {
-            if (berth.isConnecting()) {
-                Berth idle = berths.pollIdle(now);
-                if (idle == null) {
-                    return;
-                }
+            Berth idle = berth.isConnecting() ? pollIdle(now, berth.shipment()) : null;
+            if (idle != null) {
                 berths.free(berth);
                 berths.send(idle, berth.drop(), now);
             }
         }
     }
 
+    /** What can't be repeated takes none that was idle for long while new ones are to be had. */
+    private Berth pollIdle(long now, Shipment shipment) {
+        boolean any = shipment.repeatable || berths.failing(now);
+        return berths.pollIdle(now, any ? Long.MAX_VALUE : lull.at(now));
+    }
+
     private boolean letGo(long now) {
-        Berth idle = berths.pollIdle(now);
+        Shipment first = stevedore.first(now);
+        Berth idle = pollIdle(now, first);
         if (idle != null) {
-            berths.send(idle, stevedore.next(now), now);
+            berths.send(idle, stevedore.letGo(now, first), now);
         } else if (berths.failing(now)) {
             if (berths.someUp()) {
                 return false;
             }
-            end(stevedore.next(now), Ended.OTHER,
+            end(stevedore.letGo(now, first), Ended.OTHER,
                     new Outcome.NotRun(Reason.NO_CONNECTION, berths.failingUntil() - now));
         } else if (berths.room()) {
-            berths.connect(stevedore.next(now));
+            berths.connect(stevedore.letGo(now, first));
         } else {
+            // Its end makes room.
+            berths.closeOldest();
             return false;
         }
         return true;
     }
 
+    /** Another server is at the address. */
+    void another() {
+        lull.forget();
+        berths.retire();
+    }
+
     void refuse(List<Stevedore.Refusal<Shipment>> refusals) {
         for (Stevedore.Refusal<Shipment> r : refusals) {
             tell(r.cargo(), new Outcome.NotRun(r.reason(), r.retryAfterMicros()));
@@ -202,7 +215,7 @@
         Shipment shipment = berth.shipment();
         if (shipment == null || berth.isDone() || now + Stevedore.MARGIN_MICROS > shipment.deadline) {
             Shipment unsent = berth.drop();
-            berths.rest(berth, idleUntil(now, ASSUMED_IDLE_SECONDS));
+            berths.rest(berth, now, idleUntil(now, ASSUMED_IDLE_SECONDS));
             if (unsent != null) {
                 end(unsent, Ended.OTHER,
                         new Outcome.NotRun(berth.isDone() ? Reason.GONE : Reason.LATE, 0));
@@ -221,6 +234,7 @@
     public Verdict answered(Berth berth, Shipment shipment, Answer answer) {
         long now = micros.getAsLong();
         berth.idleUntil = idleUntil(now, answer.idleSeconds(ASSUMED_IDLE_SECONDS));
+        lull.held(berth.wasIdle());
         Verdict verdict = Verdict.of(answer, shipment, now, stevedore.retryAfter(shipment));
         if (verdict.kind() == Verdict.Kind.FOREIGN) {
             log.accept("an answer to another request came in place of that to " + shipment.attemptId);
@@ -242,6 +256,10 @@
     @Override
     public void broken(Berth berth, Shipment shipment, boolean handed, String why) {
         berths.free(berth);
+        long now = micros.getAsLong();
+        if (handed && berth.isSilent() && now - shipment.sentAt < Lull.AT_ONCE_MICROS) {
+            lull.dropped(now, berth.wasIdle());
+        }
         if (handed) {
             log.accept(shipment.attemptId + " may have run: " + why);
         }
@@ -253,7 +271,7 @@
     public void settled(Berth berth, boolean usable) {
         settling--;
         if (usable) {
-            berths.rest(berth, berth.idleUntil);
+            berths.rest(berth, micros.getAsLong(), berth.idleUntil);
         }
         wake();
     }
--- a/src/main/java/larkbank/quay/Quay.java
+++ b/src/main/java/larkbank/quay/Quay.java
@@ -40,7 +40,7 @@
         stevedore.life(next == null ? 0 : Math.max(1, next.slots()),
                 next == null ? Long.MIN_VALUE : next.warmUntilMicros(), another);
         if (another) {
-            berths.retire();
+            pier.another();
             handBack(false);
         }
         pier.wake();
--- a/src/main/java/larkbank/quay/Stevedore.java
+++ b/src/main/java/larkbank/quay/Stevedore.java
@@ -118,9 +118,18 @@
         return !waiting.isEmpty() && running.size() < limit.at(now);
     }
 
+    /** The first in order; only if {@link #ready}. */
+    C first(long now) {
+        return waiting.size() == 1 ? waiting.get(0) : Collections.min(waiting, order(now));
+    }
+
     /** Lets the first in order go; only if {@link #ready}. */
     C next(long now) {
-        C first = Collections.min(waiting, order(now));
+        return letGo(now, first(now));
+    }
+
+    /** Lets go what was found to be the first in order. */
+    C letGo(long now, C first) {
         waiting.remove(first);
         for (C c : waiting) {
             if (c.sequence < first.sequence) {
--- a/src/test/java/larkbank/quay/QuayTest.java
+++ b/src/test/java/larkbank/quay/QuayTest.java
@@ -133,6 +133,59 @@
         assertThat(wire.ended()).isTrue();
     }
 
+    /** A server may forget an idle connection: what can't be repeated does not find that out. */
+    @Test
+    void whatCanNotBeRepeatedGoesOnNoConnectionThatWasIdleForLong() throws Exception {
+        wharf.stopClock();
+        Wire first = exchange(null, wharf.post());
+        wharf.later(900_000);
+        exchange(first, wharf.post());
+        wharf.later(1_100_000);
+        Wire second = exchange(null, wharf.post());
+        // The older one is used again by what can be repeated, and the idleness that it bore is believed.
+        wharf.later(2_000_000);
+        exchange(second, wharf.get());
+        wharf.later(1_200_000);
+        Asked lost = wharf.post();
+        second.head();
+        second.reset();
+        assertThat(lost.mayHaveRun()).isNotEmpty();
+        // It was lost after 1.2 s of idleness: half of that is the bound, and twice that a minute later.
+        Wire third = exchange(null, wharf.post());
+        wharf.later(590_000);
+        exchange(third, wharf.post());
+        wharf.later(610_000);
+        Wire fourth = exchange(null, wharf.post());
+        exchange(fourth, wharf.get());
+        wharf.later(60_000_000);
+        Wire fifth = exchange(null, wharf.post());
+        wharf.later(990_000);
+        exchange(fifth, wharf.post());
+    }
+
+    @Test
+    void anIdleConnectionMakesRoomForAFreshOne() throws Exception {
+        wharf.stopClock();
+        wharf.run(() -> wharf.quay.maxConnections(5));
+        Wire old = exchange(null, wharf.post());
+        wharf.later(2_000_000);
+        Asked asked = wharf.post();
+        assertThat(old.ended()).isTrue();
+        exchange(null, asked);
+        assertThat(wharf.on(wharf.quay::connections)).isEqualTo(1);
+    }
+
+    /** Answers what was asked, on this connection or on a new one. */
+    private Wire exchange(Wire kept, Asked asked) throws Exception {
+        Wire wire = kept == null ? wharf.accept() : kept;
+        wire.body(wire.head().contains("POST") ? 5 : 0);
+        wire.write(answer(asked.id, "ok"));
+        assertThat(asked.answered()).isEqualTo("200 ok");
+        // The read that brought it is over.
+        wharf.run(() -> { });
+        return wire;
+    }
+
     @Test
     void cancellingDependsOnWhereARequestIs() throws Exception {
         wharf.life("one", 1);
--- a/src/test/java/larkbank/quay/Wharf.java
+++ b/src/test/java/larkbank/quay/Wharf.java
@@ -32,6 +32,7 @@
     final AtomicLong ahead = new AtomicLong();
     final List<String> log = new CopyOnWriteArrayList<>();
     final Quay quay;
+    private volatile long stopped;
     private int ids;
 
     Wharf(int slots) throws Exception {
@@ -47,7 +48,12 @@
     }
 
     long micros() {
-        return System.nanoTime() / 1000 + ahead.get();
+        return (stopped == 0 ? System.nanoTime() / 1000 : stopped) + ahead.get();
+    }
+
+    /** From now on time passes only where the test says so. */
+    void stopClock() {
+        stopped = System.nanoTime() / 1000;
     }
 
     <T> T on(Callable<T> task) throws Exception {
