One account a request: what may still be sent and answered follows from it alone

What was known of each attempt stood in the passage, its tries, the helm's ends and the berth's flags; each decided by itself what may be said. Now larkbank.quay.Account holds what is known of all attempts and says what may go and what is due; Known is that of one attempt, at the first pilot and at the quay. An attempt counts as out only when the account has let it go: nothing goes twice that can't, even if the choice asked for it.

--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -29,6 +29,7 @@
 import larkbank.gangway.Answer;
 import larkbank.gangway.Headers;
 import larkbank.lading.Fault;
+import larkbank.quay.Account;
 import larkbank.quay.Freight;
 import larkbank.quay.Load;
 import larkbank.quay.Outcome;
@@ -161,13 +162,13 @@
 
     /** A request that no server has room for is refused early, so that its client may come back in time. */
     private void beImpatient(Passage p) {
-        if (p.answered || p.isOut() || p.patience != null) {
+        if (p.account.isClosed() || p.account.isOut() || p.patience != null) {
             return;
         }
         long until = p.arrivedAt + (long) (PATIENCE * (p.aimAt - p.arrivedAt));
         p.patience = loop.schedule(() -> {
             p.patience = null;
-            if (!p.answered && !p.isOut()) {
+            if (!p.account.isClosed() && !p.account.isOut()) {
                 choice.clientLeft(micros.getAsLong(), p.number);
                 refuse(p.number, (p.aimAt - p.arrivedAt) / 4);
             }
@@ -175,8 +176,8 @@
     }
 
     private void left(Passage p) {
-        if (!p.answered) {
-            p.end();
+        if (!p.account.isClosed()) {
+            p.left();
             choice.clientLeft(micros.getAsLong(), p.number);
             forget(p);
         }
@@ -184,16 +185,16 @@
 
     /** A passage is kept until the last of its attempts has ended. */
     private void forget(Passage p) {
-        if (p.answered && p.tries.stream().noneMatch(t -> t.outcome == null)) {
+        if (p.account.isClosed() && !p.account.isOut()) {
             open.remove(p.number);
         }
     }
 
     private void deadline(Passage p) {
         long now = micros.getAsLong();
-        for (int i = 0; i < p.tries.size() && !p.answered; i++) {
+        for (int i = 0; i < p.tries.size() && !p.account.isClosed(); i++) {
             Passage.Try one = p.tries.get(i);
-            if (one.outcome == null && !one.over) {
+            if (p.account.isOpen(i) && !one.over) {
                 one.over = true;
                 choice.outcome(now, new larkbank.LoadBalancer.Outcome(p.number, i, one.target.number(),
                         Result.TIMED_OUT, now - one.sentAt, false, null));
@@ -202,7 +203,7 @@
                 }
             }
         }
-        if (!p.answered) {
+        if (!p.account.isClosed()) {
             choice.clientLeft(now, p.number);
             fail(p.number);
         }
@@ -214,13 +215,13 @@
     public void send(String number, long server, long timeoutMicros) {
         Passage p = open.get(number);
         Target target = targets.get(server);
-        int index = p == null ? 0 : p.tries.size();
         if (p == null) {
             return;
         }
+        int index = p.account.begin();
         Passage.Try one = new Passage.Try(target, micros.getAsLong());
         p.tries.add(one);
-        if (target == null) {
+        if (target == null || !p.account.goes(index)) {
             loop.execute(() -> replied(p, index, one,
                     new Reply(new Outcome.NotRun(Reason.GONE, 0), null)));
             return;
@@ -241,32 +242,45 @@
     }
 
     private void replied(Passage p, int index, Passage.Try one, Reply reply) {
-        if (one.outcome != null) {
+        if (!p.account.isOpen(index)) {
             return;
         }
         long now = micros.getAsLong();
-        one.outcome = reply.outcome();
         Result result = result(reply.outcome());
         boolean served = result == Result.SERVED;
-        if (reply.outcome() instanceof Outcome.Answered a && !p.answered) {
-            Answer answer = new Answer(a.status(), Headers.endToEnd(a.headers()), a.body());
-            if (served) {
-                p.answer(answer);
-            } else {
-                p.kept = answer;
-            }
+        Account.Due due = p.account.ended(index, reply.outcome());
+        if (due != Account.Due.NOTHING) {
+            give(p, due, reply.outcome(), 0);
         }
         if (!one.over) {
             long number = one.target == null ? 0 : one.target.number();
             choice.outcome(now, new larkbank.LoadBalancer.Outcome(p.number, index, number, result,
                     now - one.sentAt, served, report(reply.load())));
         }
-        if (!p.answered) {
+        if (!p.account.isClosed()) {
             beImpatient(p);
         }
         forget(p);
     }
 
+    /** Does for the client what its account says. */
+    private void give(Passage p, Account.Due due, Outcome outcome, long againMicros) {
+        switch (due) {
+            case NOTHING -> { }
+            case THIS_ANSWER -> p.answer(answer(outcome));
+            case KEEP -> p.kept = answer(outcome);
+            case KEPT_ANSWER -> p.answer(p.kept);
+            case REFUSAL -> p.answer(own(Fault.NO_ROOM, againMicros));
+            case BROKEN -> p.answer(own(Fault.BROKEN, 0));
+            case TIMED_OUT -> p.answer(own(Fault.TIMED_OUT, 0));
+        }
+    }
+
+    private static Answer answer(Outcome outcome) {
+        Outcome.Answered its = (Outcome.Answered) outcome;
+        return new Answer(its.status(), Headers.endToEnd(its.headers()), its.body());
+    }
+
     private static Result result(Outcome outcome) {
         if (outcome instanceof Outcome.Answered a) {
             return a.status() < 500 ? Result.SERVED : Result.ERROR;
@@ -297,34 +311,22 @@
     @Override
     public void refuse(String number, long retryAfterMicros) {
         Passage p = open.get(number);
-        if (p == null || p.answered) {
-            return;
-        }
-        if (p.mayHaveRun()) {
-            end(p);
-        } else {
-            p.answer(own(Fault.NO_ROOM, retryAfterMicros));
-            forget(p);
+        if (p != null) {
+            end(p, retryAfterMicros);
         }
     }
 
     @Override
     public void fail(String number) {
         Passage p = open.get(number);
-        if (p != null && !p.answered) {
-            end(p);
+        if (p != null) {
+            end(p, 100_000);
         }
     }
 
-    /** Something may have run: the server's own answer where there is one, else that it is not known. */
-    private void end(Passage p) {
-        if (p.kept != null) {
-            p.answer(p.kept);
-        } else if (!p.mayHaveRun()) {
-            p.answer(own(Fault.NO_ROOM, 100_000));
-        } else {
-            p.answer(own(micros.getAsLong() >= p.deadline - TICK ? Fault.TIMED_OUT : Fault.BROKEN, 0));
-        }
+    /** No further attempt is made, and none that is out is waited for. */
+    private void end(Passage p, long againMicros) {
+        give(p, p.account.last(micros.getAsLong() >= p.deadline - TICK), null, againMicros);
         forget(p);
     }
 
@@ -333,7 +335,7 @@
         Passage p = open.get(number);
         if (p != null && attempt < p.tries.size()) {
             Passage.Try one = p.tries.get(attempt);
-            if (one.outcome == null && one.ride != null) {
+            if (p.account.isOpen(attempt) && one.ride != null) {
                 one.ride.cancel();
             }
         }
--- a/src/main/java/larkbank/pilot/Passage.java
+++ b/src/main/java/larkbank/pilot/Passage.java
@@ -7,7 +7,7 @@
 import larkbank.gangway.Answer;
 import larkbank.gangway.Call;
 import larkbank.manifest.RouteTerms;
-import larkbank.quay.Outcome;
+import larkbank.quay.Account;
 
 /** One request of a client, from its arrival to its one answer, and all attempts at it. */
 final class Passage {
@@ -17,7 +17,6 @@
         final Target target;
         final long sentAt;
         Carrier.Ride ride;
-        Outcome outcome;
         /** Its deadline came while it was out. */
         boolean over;
 
@@ -25,10 +24,6 @@
             this.target = target;
             this.sentAt = sentAt;
         }
-
-        boolean mayHaveRun() {
-            return !(outcome instanceof Outcome.NotRun);
-        }
     }
 
     final String number;
@@ -43,9 +38,10 @@
     final long deadline;
     final List<Map.Entry<String, String>> headers;
     final List<Try> tries = new ArrayList<>(2);
+    /** What may still be sent and answered. */
+    final Account account;
     /** The server's own answer that is no success, kept in case that no other comes. */
     Answer kept;
-    boolean answered;
     ScheduledFuture<?> atDeadline;
     ScheduledFuture<?> patience;
 
@@ -56,6 +52,7 @@
         this.call = call;
         this.id = id;
         this.route = route;
+        account = new Account(route.repeatable());
         this.tenant = tenant;
         this.rank = rank;
         this.inner = inner;
@@ -65,27 +62,21 @@
         this.headers = headers;
     }
 
-    /** Whether any attempt has run, may have run or may still run. */
-    boolean mayHaveRun() {
-        return tries.stream().anyMatch(Try::mayHaveRun);
-    }
-
-    boolean isOut() {
-        return tries.stream().anyMatch(t -> t.outcome == null && !t.over);
-    }
-
     /** Answers the client, once. */
-    boolean answer(Answer answer) {
-        if (answered) {
-            return false;
+    void answer(Answer answer) {
+        if (account.answer()) {
+            end();
+            call.answer(answer);
         }
-        end();
-        return call.answer(answer);
     }
 
     /** Nothing is owed any more. */
-    void end() {
-        answered = true;
+    void left() {
+        account.leave();
+        end();
+    }
+
+    private void end() {
         if (atDeadline != null) {
             atDeadline.cancel(false);
         }
--- a/src/main/java/larkbank/quay/Berth.java
+++ b/src/main/java/larkbank/quay/Berth.java
@@ -27,10 +27,11 @@
         /** A whole answer while a request is in flight. */
         Verdict answered(Berth berth, Shipment shipment, Answer answer);
 
-        /** The request's fate is told: what it was, and whether one byte of it was handed over. */
+        /** A whole answer has told what became of the request. */
         void ended(Berth berth, Shipment shipment, Verdict verdict);
 
-        void broken(Berth berth, Shipment shipment, boolean handed, String why);
+        /** Its connection ended, or what came on it can't be believed. */
+        void broken(Berth berth, Shipment shipment, String why);
 
         /** The read that brought the answer is over; it is idle if it still is of use. */
         void settled(Berth berth, boolean usable);
@@ -50,7 +51,6 @@
     private Shipment shipment;
     /** Takes no further request. */
     private boolean done;
-    private boolean handed;
     private boolean written;
     private boolean answerBegan;
     private Shipment previous;
@@ -103,7 +103,7 @@
     }
 
     boolean isHanded() {
-        return handed;
+        return shipment != null && shipment.known == Known.SENT;
     }
 
     boolean isDone() {
@@ -150,7 +150,6 @@
     void send(Shipment next, long now) {
         shipment = next;
         state = State.BUSY;
-        handed = false;
         written = false;
         answerBegan = false;
         wasIdle = idleSince == 0 ? 0 : now - idleSince;
@@ -170,7 +169,9 @@
 
         @Override
         public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
-            handed |= sent == shipment && progress > 0;
+            if (sent == shipment && progress > 0) {
+                sent.known = Known.SENT;
+            }
         }
 
         @Override
@@ -178,7 +179,7 @@
             if (!future.isSuccess()) {
                 close();
             } else if (sent == shipment) {
-                handed = true;
+                sent.known = Known.SENT;
                 written = true;
             }
         }
@@ -208,7 +209,7 @@
         }
         owner.down(this, wasUp);
         if (shipment != null) {
-            owner.broken(this, drop(), handed, answerBegan ? "an answer that was cut off"
+            owner.broken(this, drop(), answerBegan ? "an answer that was cut off"
                     : "the connection ended before an answer");
         }
     }
@@ -261,10 +262,9 @@
 
     @Override
     public void broken(String why) {
-        boolean sent = handed;
         Shipment lost = abandon();
         if (lost != null) {
-            owner.broken(this, lost, sent, why);
+            owner.broken(this, lost, why);
         }
     }
 
--- a/src/main/java/larkbank/quay/Pier.java
+++ b/src/main/java/larkbank/quay/Pier.java
@@ -254,9 +254,10 @@
     }
 
     @Override
-    public void broken(Berth berth, Shipment shipment, boolean handed, String why) {
+    public void broken(Berth berth, Shipment shipment, String why) {
         berths.free(berth);
         long now = micros.getAsLong();
+        boolean handed = shipment.known.lost() == Known.MAY_HAVE_RUN;
         if (handed && berth.isSilent() && now - shipment.sentAt < Lull.AT_ONCE_MICROS) {
             lull.dropped(now, berth.wasIdle());
         }
--- a/src/main/java/larkbank/quay/Shipment.java
+++ b/src/main/java/larkbank/quay/Shipment.java
@@ -8,6 +8,8 @@
     private final Consumer<Outcome> end;
     /** The id that is sent, and that its answer repeats. */
     final String attemptId;
+    /** Sent is what the socket took at least a byte of. */
+    Known known = Known.NOT_SENT;
     private boolean over;
 
     Shipment(Freight freight, Consumer<Outcome> end) {
