A bare 429 or 503 of a server is not handed on for what can't be repeated

Only with Cypressweir-Not-Executed (or 421) does a server say that it did not run a request. Its bare 408, 429 or 503 was handed on as it came, and its client would have taken it for the promise that it has not run and never will (REFUSED). What can't be repeated gets 502 now; what can is handed on as before.

--- a/src/main/java/larkbank/quay/Account.java
+++ b/src/main/java/larkbank/quay/Account.java
@@ -138,6 +138,9 @@
         if (isClosed() || !(outcome instanceof Outcome.Answered answer)) {
             return Due.NOTHING;
         }
+        if (!repeatable && promises(answer.status())) {
+            return Due.BROKEN;
+        }
         if (answer.status() < FAILURE) {
             return Due.THIS_ANSWER;
         }
@@ -145,6 +148,11 @@
         return Due.KEEP;
     }
 
+    /** Clients take these as a promise that it has not run and never will, whoever says them. */
+    static boolean promises(int status) {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
     /** What is due where nothing more is sent and nothing more is waited for. */
     public Due last(boolean timeOver) {
         if (isClosed()) {
