--- a/src/main/java/larkbank/quay/Berth.java
+++ b/src/main/java/larkbank/quay/Berth.java
@@ -27,10 +27,11 @@
         /** A whole answer while a request is in flight. */
         Verdict answered(Berth berth, Shipment shipment, Answer answer);
 
-        /** The request's fate is told: what it was, and whether one byte of it was handed over. */
+        /** A whole answer has told what became of the request. */
         void ended(Berth berth, Shipment shipment, Verdict verdict);
 
-        void broken(Berth berth, Shipment shipment, boolean handed, String why);
+        /** Its connection ended, or what came on it can't be believed. */
+        void broken(Berth berth, Shipment shipment, String why);
 
         /** The read that brought the answer is over; it is idle if it still is of use. */
         void settled(Berth berth, boolean usable);
@@ -50,12 +51,15 @@
     private Shipment shipment;
     /** Takes no further request. */
     private boolean done;
-    private boolean handed;
     private boolean written;
     private boolean answerBegan;
     private Shipment previous;
     /** When it is too old to be used, while it is idle. */
     long idleUntil;
+    /** Since when it is idle. */
+    long idleSince;
+    /** How long it was idle before its last request, zero for its first. */
+    private long wasIdle;
 
     Berth(EventLoop loop, InetSocketAddress to, QuayPlan plan, Owner owner) {
         this.loop = loop;
@@ -99,13 +103,22 @@
     }
 
     boolean isHanded() {
-        return handed;
+        return shipment != null && shipment.known == Known.SENT;
     }
 
     boolean isDone() {
         return done;
     }
 
+    long wasIdle() {
+        return wasIdle;
+    }
+
+    /** Whether no byte came since the last request was sent. */
+    boolean isSilent() {
+        return !answerBegan;
+    }
+
     /** Takes no further request once what is in flight has ended. */
     void retire() {
         done = true;
@@ -137,9 +150,9 @@
     void send(Shipment next, long now) {
         shipment = next;
         state = State.BUSY;
-        handed = false;
         written = false;
         answerBegan = false;
+        wasIdle = idleSince == 0 ? 0 : now - idleSince;
         next.sentAt = now;
         ChannelProgressivePromise promise = channel.newProgressivePromise();
         promise.addListener(new Progress(next));
@@ -156,7 +169,9 @@
 
         @Override
         public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
-            handed |= sent == shipment && progress > 0;
+            if (sent == shipment && progress > 0) {
+                sent.known = Known.SENT;
+            }
         }
 
         @Override
@@ -164,7 +179,7 @@
             if (!future.isSuccess()) {
                 close();
             } else if (sent == shipment) {
-                handed = true;
+                sent.known = Known.SENT;
                 written = true;
             }
         }
@@ -194,7 +209,7 @@
         }
         owner.down(this, wasUp);
         if (shipment != null) {
-            owner.broken(this, drop(), handed, answerBegan ? "an answer that was cut off"
+            owner.broken(this, drop(), answerBegan ? "an answer that was cut off"
                     : "the connection ended before an answer");
         }
     }
@@ -247,10 +262,9 @@
 
     @Override
     public void broken(String why) {
-        boolean sent = handed;
         Shipment lost = abandon();
         if (lost != null) {
-            owner.broken(this, lost, sent, why);
+            owner.broken(this, lost, why);
         }
     }
 
