Writes are sealed: a torn one is cut off, a disk that lost more says so

A flipped digit in "current" (1 to 0) emptied the store. A folder emptied under a running store went on acknowledging into files without names, and after a failed write began anew with promises and no state. An item above 1 MiB could not be written at all. Full log files were mapped, and a read of a mapped page that is gone ends the process (status 134).

Ruled out: a second file synced before each answer, which doubles the syncs of a change; the setting for clearing invalid logs, which rolls back without a word.

Change: each transaction sets a seal with the number of the write, the sum of the items' prints and a print of itself and the terms. Opening checks it; one write that does not hold is cut off, since one is under way at a time. A file that is written and not synced tells how many writes have come back: less than that is refused as forgotten. Files are not mapped, a file that is gone fails the write until the next start, and log files may be as large as any item.

No further sync.

--- a/src/main/java/larkbank/hold/Generation.java
+++ b/src/main/java/larkbank/hold/Generation.java
@@ -1,14 +1,19 @@
 package larkbank.hold;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import jetbrains.exodus.ArrayByteIterable;
 import jetbrains.exodus.ByteIterable;
+import jetbrains.exodus.ExodusException;
 import jetbrains.exodus.env.Cursor;
 import jetbrains.exodus.env.Environment;
 import jetbrains.exodus.env.EnvironmentConfig;
@@ -19,9 +24,8 @@
 import larkbank.copies.Stamp;
 import larkbank.copies.Standing;
 import larkbank.manifest.Item;
-import larkbank.manifest.Key;
 
-/** One folder with a Xodus environment. A write is one transaction. */
+/** One folder with a Xodus environment. A write is one transaction, and sealed. */
 final class Generation implements AutoCloseable {
 
     private static final String ITEMS = "items";
@@ -30,21 +34,30 @@
     private static final ByteIterable ACCEPTED = bytes("accepted");
     private static final ByteIterable CREW = bytes("crew");
     private static final ByteIterable HEARSAY = bytes("hearsay");
+    private static final ByteIterable SEAL = bytes("seal");
 
     private final Path folder;
     private final Environment environment;
     private Set<String> files;
     private long written;
+    private Seal seal = Seal.NONE;
 
-    /** Opens the folder, made anew where it is not there. */
+    /**
+     * Opens the folder, made anew where it is not there.
+     *
+     * @throws Torn where it can be opened, but does not hold what was written last
+     */
     Generation(Path folder) throws IOException {
         this.folder = folder;
         Files.createDirectories(folder);
         EnvironmentConfig config = new EnvironmentConfig();
         config.setLogDurableWrite(true);
-        config.setLogFileSize(1024);
+        // In KiB. No item is larger than a file may be; a file takes only what is written to it.
+        config.setLogFileSize(64 * 1024);
         config.setLogCachePageSize(16 * 1024);
         config.setMemoryUsage(8L << 20);
+        // Mapped files end the process where their folder is emptied or their disk fails.
+        config.setLogCacheUseNio(false);
         config.setLogCacheShared(false);
         config.setLogClearInvalid(false);
         config.setManagementEnabled(false);
@@ -59,6 +72,31 @@
         }
         Folders.sync(folder);
         files = Folders.names(folder);
+        try {
+            load();
+        } catch (Torn e) {
+            close();
+            throw e;
+        }
+    }
+
+    /** Cuts the last write off a folder that is not open: without its last byte, the one before it counts. */
+    static void cut(Path folder) throws IOException {
+        List<String> logs = Folders.names(folder).stream().filter(n -> n.endsWith(".xd")).toList();
+        for (int i = logs.size() - 1; i >= 0; i--) {
+            try (FileChannel log = FileChannel.open(folder.resolve(logs.get(i)), StandardOpenOption.WRITE)) {
+                if (log.size() > 0) {
+                    log.truncate(log.size() - 1);
+                    log.force(true);
+                    return;
+                }
+            }
+        }
+    }
+
+    /** How many writes there have been, in folders before this one too. */
+    long number() {
+        return seal.number();
     }
 
     /** How many bytes its files take. */
@@ -77,7 +115,16 @@
 
     Standing load() throws IOException {
         Standing[] found = new Standing[1];
-        guarded(() -> environment.executeInReadonlyTransaction(t -> found[0] = load(t)));
+        try {
+            environment.executeInReadonlyTransaction(t -> found[0] = load(t));
+        } catch (RuntimeException e) {
+            if (e instanceof ExodusException && e.getCause() instanceof IOException) {
+                throw new IOException(e.getMessage(), e);
+            }
+            throw new Torn(folder + " does not hold what was written: " + e.getMessage(), e);
+        } catch (Error e) {
+            throw new IOException(e.getMessage(), e);
+        }
         return found[0];
     }
 
@@ -91,45 +138,75 @@
             return null;
         }
         List<Item> items = new ArrayList<>();
+        long sum = 0;
         try (Cursor cursor = environment.openStore(ITEMS, StoreConfig.USE_EXISTING, t).openCursor(t)) {
             while (cursor.getNext()) {
                 items.add(Item.ofText(text(cursor.getValue())));
+                sum += print(cursor.getKey(), cursor.getValue());
             }
         }
+        ByteIterable sealed = terms.get(t, SEAL);
+        if (sealed == null) {
+            // Written by a build without seals: the next write sets one.
+            seal = new Seal(seal.number(), sum);
+        } else {
+            Seal found = Seal.of(text(sealed), terms(terms, t));
+            if (found.sum() != sum) {
+                throw new IllegalArgumentException("the items are not those that were sealed");
+            }
+            seal = found;
+        }
         String crew = text(terms.get(t, CREW));
         return new Standing(Stamp.of(text(promised)), Stamp.of(text(terms.get(t, ACCEPTED))),
                 crew.isEmpty() ? List.of() : List.of(crew.split("\n")), items,
                 Boolean.parseBoolean(text(terms.get(t, HEARSAY))));
     }
 
+    private static List<String> terms(jetbrains.exodus.env.Store terms, Transaction t) {
+        return Stream.of(PROMISED, ACCEPTED, CREW, HEARSAY).map(name -> text(terms.get(t, name))).toList();
+    }
+
     void write(Change change) throws IOException {
         write(change, change.hearsay());
     }
 
-    /** Writes all that stands into a folder made anew. */
-    void write(Standing all) throws IOException {
+    /** Writes all that stands into a folder made anew, after so many writes. */
+    void write(Standing all, long number) throws IOException {
+        seal = new Seal(number, 0);
         write(new Change(all.promised(), all.accepted(), all.crew(), all.items(), true), all.hearsay());
     }
 
     private void write(Change change, boolean hearsay) throws IOException {
-        guarded(() -> environment.executeInExclusiveTransaction(t -> write(change, hearsay, t)));
+        Seal[] next = new Seal[1];
+        guarded(() -> environment.executeInExclusiveTransaction(t -> next[0] = write(change, hearsay, t)));
         written++;
+        seal = next[0];
         Set<String> now = Folders.names(folder);
+        if (!now.containsAll(files)) {
+            throw new IOException("files of " + folder + " are gone");
+        }
         if (!files.containsAll(now)) {
             Folders.sync(folder);
         }
         files = now;
     }
 
-    private void write(Change change, boolean hearsay, Transaction t) {
-        if (change.whole() && environment.storeExists(ITEMS, t)) {
-            environment.truncateStore(ITEMS, t);
+    private Seal write(Change change, boolean hearsay, Transaction t) {
+        long sum = seal.sum();
+        if (change.whole()) {
+            sum = 0;
+            if (environment.storeExists(ITEMS, t)) {
+                environment.truncateStore(ITEMS, t);
+            }
         }
         var items = environment.openStore(ITEMS, StoreConfig.WITHOUT_DUPLICATES, t);
         var terms = environment.openStore(TERMS, StoreConfig.WITHOUT_DUPLICATES, t);
         for (Item item : change.items()) {
-            Key key = item.key();
-            items.put(t, bytes(key.table().wire() + "." + key.name()), bytes(item.toText()));
+            ByteIterable key = bytes(item.key().table().wire() + "." + item.key().name());
+            ByteIterable value = bytes(item.toText());
+            ByteIterable before = items.get(t, key);
+            sum += print(key, value) - (before == null ? 0 : print(key, before));
+            items.put(t, key, value);
         }
         terms.put(t, PROMISED, bytes(change.promised().toString()));
         if (change.accepted() != null || terms.get(t, ACCEPTED) == null) {
@@ -142,6 +219,9 @@
         if (change.crew() != null || terms.get(t, CREW) == null) {
             terms.put(t, CREW, bytes(change.crew() == null ? "" : String.join("\n", change.crew())));
         }
+        Seal next = new Seal(seal.number() + 1, sum);
+        terms.put(t, SEAL, bytes(next.over(terms(terms, t))));
+        return next;
     }
 
     private static void guarded(Runnable work) throws IOException {
@@ -152,6 +232,11 @@
         }
     }
 
+    private static long print(ByteIterable key, ByteIterable value) {
+        return Seal.print(Arrays.copyOf(key.getBytesUnsafe(), key.getLength()),
+                Arrays.copyOf(value.getBytesUnsafe(), value.getLength()));
+    }
+
     private static ByteIterable bytes(String text) {
         return new ArrayByteIterable(text.getBytes(StandardCharsets.UTF_8));
     }
--- /dev/null
+++ b/src/main/java/larkbank/hold/Witness.java
@@ -0,0 +1,46 @@
+package larkbank.hold;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/**
+ * A small file that tells how many writes had come back at least. It is not synced, and so costs nothing: a
+ * loss of power may leave an older number, never a higher one. What stands at a lower number has lost writes
+ * that were told to be there.
+ */
+final class Witness implements AutoCloseable {
+
+    private static final int DIGITS = 19;
+
+    private final FileChannel channel;
+    private long number;
+
+    Witness(Path file) throws IOException {
+        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        ByteBuffer bytes = ByteBuffer.allocate(DIGITS);
+        channel.read(bytes, 0);
+        String text = new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1);
+        // One that can't be read tells nothing.
+        number = text.matches("\\d{" + DIGITS + "}") ? Long.parseLong(text) : 0;
+    }
+
+    long number() {
+        return number;
+    }
+
+    void saw(long written) throws IOException {
+        number = written;
+        byte[] digits = String.format("%0" + DIGITS + "d", written).getBytes(StandardCharsets.ISO_8859_1);
+        channel.write(ByteBuffer.wrap(digits), 0);
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+}
--- a/src/main/java/larkbank/hold/XodusStore.java
+++ b/src/main/java/larkbank/hold/XodusStore.java
@@ -10,6 +10,9 @@
 /**
  * Keeps a copy in a folder. Xodus only ever appends; so where its files have grown large, what stands is
  * written into a folder next to it, which takes over at once when a small file names it. No thread cleans up.
+ *
+ * <p>Opening it gives all that was told to be written, or fails. A last write that a loss of power has torn was
+ * never told: it is cut off. Where more is missing, the disk has forgotten and must be emptied by an operator.
  */
 public final class XodusStore implements Store {
 
@@ -17,12 +20,16 @@
     private static final int LOOK_EVERY = 16;
     private static final int TIMES = 4;
     private static final String NAMES = "current";
+    private static final String WITNESS = "written";
 
     private final Path folder;
     private final long large;
     private long number;
     private long most;
     private Generation generation;
+    /** How many writes have come back, as far as this process knows. */
+    private long written;
+    private Witness witness;
 
     public XodusStore(Path folder) throws IOException {
         this(folder, LARGE);
@@ -43,32 +50,54 @@
     private void open() throws IOException {
         Path names = folder.resolve(NAMES);
         if (!Files.exists(names)) {
-            if (Folders.names(folder).stream().anyMatch(n -> n.matches("\\d+"))) {
-                throw new IOException(names + " is not there, but there are folders that it should name");
+            if (written > 0 || Folders.names(folder).stream().anyMatch(n -> n.matches("\\d+"))) {
+                throw new IOException(names + " is gone");
             }
             Folders.replace(names, "0\n");
         }
-        // A name that was put there right before this process ended may not have been durable.
-        Folders.sync(folder);
         try {
             number = Long.parseLong(Files.readString(names).trim());
         } catch (NumberFormatException e) {
             throw new IOException(names + " names no folder", e);
         }
-        if (number == 0) {
-            // Begun, but never come to its first folder.
-            clean(0);
-            generation = new Generation(folder.resolve("1"));
-            Folders.replace(names, "1\n");
-            number = 1;
-            return;
+        witness = new Witness(folder.resolve(WITNESS));
+        // A name that was put there right before this process ended may not have been durable.
+        Folders.sync(folder);
+        try {
+            generation = number == 0 ? first(names) : sealed(folder.resolve(Long.toString(number)));
+            number = Math.max(number, 1);
+            if (generation.number() < Math.max(written, witness.number())) {
+                throw new IOException(folder + " has forgotten: it stands after write " + generation.number()
+                        + " of " + Math.max(written, witness.number()));
+            }
+            clean(number);
+        } catch (IOException e) {
+            shut();
+            throw e;
+        }
+    }
+
+    /** Begun, but never come to its first folder: there can be nothing in it yet. */
+    private Generation first(Path names) throws IOException {
+        Generation first = new Generation(folder.resolve("1"));
+        if (first.load() != null) {
+            first.close();
+            throw new IOException(names + " names no folder, but there is one");
         }
-        Path named = folder.resolve(Long.toString(number));
+        Folders.replace(names, "1\n");
+        return first;
+    }
+
+    private static Generation sealed(Path named) throws IOException {
         if (!Files.isDirectory(named)) {
             throw new IOException(named + " is not there");
         }
-        generation = new Generation(named);
-        clean(number);
+        try {
+            return new Generation(named);
+        } catch (Torn e) {
+            Generation.cut(named);
+            return new Generation(named);
+        }
     }
 
     private void clean(long kept) throws IOException {
@@ -99,6 +128,8 @@
             } else {
                 generation.write(change);
             }
+            written = generation.number();
+            witness.saw(written);
         } catch (IOException e) {
             shut();
             throw e;
@@ -113,7 +144,7 @@
         Folders.delete(next);
         Generation fresh = new Generation(next);
         try {
-            fresh.write(all);
+            fresh.write(all, generation.number());
             Folders.sync(folder);
             Folders.replace(folder.resolve(NAMES), following + "\n");
         } catch (IOException e) {
@@ -138,23 +169,25 @@
     }
 
     private void shut() {
-        Generation failed = generation;
-        generation = null;
-        if (failed != null) {
-            try {
-                failed.close();
-            } catch (IOException e) {
-                // It had failed already; the next write opens anew and tells if that cannot be.
-                return;
-            }
+        try {
+            close();
+        } catch (IOException e) {
+            // It had failed already; the next write opens anew and tells if that cannot be.
+            generation = null;
+            witness = null;
         }
     }
 
     @Override
     public void close() throws IOException {
+        if (witness != null) {
+            witness.close();
+            witness = null;
+        }
         if (generation != null) {
-            generation.close();
+            Generation open = generation;
             generation = null;
+            open.close();
         }
     }
 }
