--- /dev/null
+++ b/src/test/java/larkbank/harbour/HarbourDayTest.java
@@ -0,0 +1,34 @@
+package larkbank.harbour;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import larkbank.testkit.HarbourDay;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Drawn days of harbours as processes; more and longer ones with -Dharbour.days=100 -Dharbour.faults=12. */
+class HarbourDayTest {
+
+    private static final int FIRST = Integer.getInteger("harbour.first", 0);
+    private static final int DAYS = Integer.getInteger("harbour.days", 1);
+    private static final int FAULTS = Integer.getInteger("harbour.faults", 3);
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void nothingAcknowledgedIsLost() throws Exception {
+        for (int seed = FIRST; seed < FIRST + DAYS; seed++) {
+            Path own = Files.createDirectory(folder.resolve("day" + seed));
+            try (HarbourDay day = new HarbourDay(own, seed % 2 == 0 ? 3 : 5, seed)) {
+                String breach = day.run(FAULTS);
+                assertThat(breach).as("seed %s: %s", seed, day).isNull();
+                if (DAYS > 1) {
+                    System.out.println("seed " + seed + ": " + day);
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/larkbank/testkit/MeshRig.java
+++ b/src/test/java/larkbank/testkit/MeshRig.java
@@ -2,14 +2,17 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /**
  * Harbours and pilots as real processes, each on a loopback address of its own, and a server beside each
@@ -54,6 +58,8 @@
     private final List<String> harbours = new ArrayList<>();
     private final List<String> pilots = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong();
+    private boolean initial = true;
+    private volatile int callMillis = PATIENCE_MILLIS;
     private final ScheduledExecutorService looks = Executors.newScheduledThreadPool(4, task -> {
         Thread thread = new Thread(task, "rig-looks");
         thread.setDaemon(true);
@@ -87,6 +93,31 @@
         }
     }
 
+    /** From here on a harbour that finds its disk empty has forgotten: the first start of the mesh is over. */
+    public void begun() throws IOException {
+        initial = false;
+        for (String harbour : harbours) {
+            settings(harbour, null, "");
+        }
+    }
+
+    /** How long an answer is waited for. */
+    public void patience(int millis) {
+        callMillis = millis;
+    }
+
+    /** Empties the folder of a harbour, whether it runs or not. */
+    public void empty(String harbour) throws IOException {
+        try (Stream<Path> files = Files.walk(folder.resolve(harbour))) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (NoSuchFileException | UncheckedIOException e) {
+            // The process made or removed a file meanwhile: the rest goes once it has ended.
+            return;
+        }
+    }
+
     public Ships ship(String pilot) {
         return ships.get(pilot);
     }
@@ -101,7 +132,7 @@
         String own = service == null ? ",\"dataDirectory\":\"" + folder.resolve(name) + "\""
                 : ",\"application\":\"" + ip + ":" + APPLICATION + "\",\"service\":\"" + service + "\"";
         String text = "{\"localNode\":{\"nodeName\":\"" + name + "\",\"ipAddress\":\"" + ip
-                + "\",\"zone\":\"z1\",\"region\":\"r1\",\"initialStart\":true" + own + "},"
+                + "\",\"zone\":\"z1\",\"region\":\"r1\",\"initialStart\":" + initial + own + "},"
                 + "\"network\":{\"listenAddresses\":{" + listen + "},\"internalPortRange\":[" + LINES + ","
                 + (LINES + 9) + "],\"seedNodes\":" + seeds + ",\"zones\":{\"z1\":\"r1\"}},"
                 + "\"platform\":{\"heartbeat\":\"500ms\"},"
@@ -159,7 +190,7 @@
         signal(name, "-HUP");
     }
 
-    private void signal(String name, String which) throws IOException, InterruptedException {
+    public void signal(String name, String which) throws IOException, InterruptedException {
         Process kill = new ProcessBuilder("kill", which, Long.toString(processes.get(name).pid())).start();
         if (kill.waitFor() != 0) {
             throw new IOException("no signal was sent to " + name);
@@ -239,6 +270,11 @@
         return call(harbour, CONTROL, "GET", "/cypressweir/config/read", "", "");
     }
 
+    /** What a process tells of itself. */
+    public Http.Message state(String name) throws IOException {
+        return call(name, CONTROL, "GET", "/cypressweir/state", "", "");
+    }
+
     public String id() {
         return "a" + ids.incrementAndGet();
     }
@@ -258,8 +294,8 @@
     private Http.Message call(String name, int port, String method, String path, String headers, String body)
             throws IOException {
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(ips.get(name), port), PATIENCE_MILLIS);
-            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.connect(new InetSocketAddress(ips.get(name), port), callMillis);
+            socket.setSoTimeout(callMillis);
             String host = headers.startsWith("Host:") ? "" : "Host: " + name + "\r\n";
             try {
                 socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\n" + host + headers
