--- /dev/null
+++ b/src/test/java/larkbank/copies/OneChangeTest.java
@@ -0,0 +1,35 @@
+package larkbank.copies;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import larkbank.hold.MemoryStore;
+import larkbank.testkit.ThreeCopies;
+import org.assertj.core.data.Percentage;
+import org.junit.jupiter.api.Test;
+
+/** One change costs its own size, whatever the whole weighs. */
+class OneChangeTest {
+
+    static String tenants(int from, int to, int version) {
+        return "{\"upsert\":{\"tenantTable\":{" + IntStream.range(from, to).mapToObj(i -> "\"t" + i
+                + "\":{\"apiKeys\":[\"key-" + i + "-" + version + "\"],\"configVersion\":\"r" + version + "\"}")
+                .collect(Collectors.joining(",")) + "}}}";
+    }
+
+    private static long sentForOne(int items) {
+        ThreeCopies three = new ThreeCopies(List.of(new MemoryStore(), new MemoryStore(), new MemoryStore()));
+        assertThat(three.submit(tenants(0, items, 1))).isInstanceOf(Verdict.Taken.class);
+        long before = three.sentBytes();
+        assertThat(three.submit(tenants(5, 6, 2))).isInstanceOf(Verdict.Taken.class);
+        return three.sentBytes() - before;
+    }
+
+    @Test
+    void whateverTheWholeWeighs() {
+        assertThat(sentForOne(5_000)).isCloseTo(sentForOne(10),
+                Percentage.withPercentage(10));
+    }
+}
--- a/src/test/java/larkbank/copies/PlantedCopiesFaultsTest.java
+++ b/src/test/java/larkbank/copies/PlantedCopiesFaultsTest.java
@@ -38,6 +38,11 @@
             + "~ ask(copy.state().crew()); copy.promise(stamp, this::promisedMyself,",
         "others accept before the one who asks ~ Round.java ~ phase = Phase.SELF_ACCEPT; "
             + "~ phase = Phase.ACCEPT; offer();",
+        "a promise is not kept ~ Copy.java ~ promised = taken.promised(); ~ ;",
+        "what one other holds is shown ~ Decided.java ~ if (State.most(word.crew(), voters)) { ~ if (true) {",
+        "what is not decided is shown ~ Decided.java ~ if (copy.accepted().equals(stamp)) { ~ if (true) {",
+        "a blank copy that hears nobody begins anew ~ Learning.java "
+            + "~ return t != null && (t.blank || t.anew); ~ return t == null || t.blank || t.anew;",
     })
     void eachFaultIsFound(String fault, String file, String text, String instead) throws Exception {
         ClassLoader planted = new Planted(folder, Path.of("src/main/java/larkbank/copies"), file, text,
--- a/src/test/java/larkbank/hold/TornFilesTest.java
+++ b/src/test/java/larkbank/hold/TornFilesTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -51,6 +52,19 @@
         }
     }
 
+    /** What the test of that name finds, or null. */
+    static String broken(Path folder, String test) throws IOException, ReflectiveOperationException {
+        TornFilesTest torn = new TornFilesTest();
+        torn.folder = Files.createDirectory(folder.resolve("files"));
+        torn.history();
+        try {
+            TornFilesTest.class.getDeclaredMethod(test).invoke(torn);
+            return null;
+        } catch (InvocationTargetException e) {
+            return String.valueOf(e.getCause());
+        }
+    }
+
     private static Change promise(int round) {
         return new Change(StoreContract.stamp(round), null, null, List.of(), false);
     }
--- /dev/null
+++ b/src/test/java/larkbank/testkit/ThreeCopies.java
@@ -0,0 +1,111 @@
+package larkbank.testkit;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import larkbank.copies.Copies;
+import larkbank.copies.CopiesPlan;
+import larkbank.copies.Effect;
+import larkbank.copies.Verdict;
+import larkbank.hold.Store;
+import larkbank.lading.Scribe;
+import larkbank.manifest.Order;
+
+/** Three copies with stores, where all comes at once and in order. Counts what is sent and written. */
+public final class ThreeCopies {
+
+    private static final int COUNT = 3;
+    private static final long TICK = 50_000;
+    private static final long PATIENCE = 60_000_000;
+
+    private final Copies[] copies = new Copies[COUNT];
+    private final List<Store> stores;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private final Map<Long, Verdict> verdicts = new HashMap<>();
+    private long now = 1_000_000;
+    private long tickets;
+    private long sentBytes;
+    private long messages;
+    private long writes;
+
+    public ThreeCopies(List<Store> stores) {
+        this.stores = stores;
+        List<String> all = List.of("h1", "h2", "h3");
+        for (int i = 0; i < COUNT; i++) {
+            copies[i] = new Copies(CopiesPlan.usual(), all.get(i), all, true, null, i + 1,
+                    new SplittableRandom(i), now);
+            act(i, copies[i].start(now));
+        }
+        settle();
+    }
+
+    /** Runs until nothing is under way, without a word that is due by time. */
+    private void settle() {
+        while (!waiting.isEmpty()) {
+            waiting.poll().run();
+        }
+    }
+
+    public void tick() {
+        now += TICK;
+        for (int i = 0; i < COUNT; i++) {
+            act(i, copies[i].tick(now));
+        }
+        settle();
+    }
+
+    /** A change, or a read for null, at the first copy. */
+    public Verdict submit(String body) {
+        long ticket = ++tickets;
+        Order order = body == null ? null : Order.read(body.getBytes(StandardCharsets.UTF_8)).get();
+        act(0, copies[0].submit(now, ticket, order, now + PATIENCE));
+        settle();
+        for (int i = 0; i < 200 && !verdicts.containsKey(ticket); i++) {
+            tick();
+        }
+        return verdicts.get(ticket);
+    }
+
+    private void act(int i, List<Effect> effects) {
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.Send send) {
+                int to = send.to().charAt(1) - '1';
+                messages++;
+                sentBytes += Scribe.bytes(send.message()).length;
+                Map<String, Object> message = Plain.map(send.message());
+                waiting.add(() -> act(to, copies[to].received(now, "h" + (i + 1), message)));
+            } else if (effect instanceof Effect.Write write) {
+                writes++;
+                waiting.add(() -> act(i, copies[i].written(now, write.number(), written(i, write))));
+            } else if (effect instanceof Effect.Answer answer) {
+                verdicts.put(answer.ticket(), answer.verdict());
+            }
+        }
+    }
+
+    private boolean written(int i, Effect.Write write) {
+        try {
+            stores.get(i).write(write.change());
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    public long messages() {
+        return messages;
+    }
+
+    public long writes() {
+        return writes;
+    }
+}
