--- a/src/main/java/larkbank/lading/Calls.java
+++ b/src/main/java/larkbank/lading/Calls.java
@@ -9,7 +9,8 @@
     DEREGISTER("POST", "/cypressweir/instances/*/deregister"),
     MODIFY("POST", "/cypressweir/config/modify"),
     READ("GET", "/cypressweir/config/read"),
-    STATE("GET", "/cypressweir/state");
+    STATE("GET", "/cypressweir/state"),
+    WHY("GET", "/cypressweir/why/*");
 
     private final String method;
     private final String before;
--- a/src/main/java/larkbank/lading/Fault.java
+++ b/src/main/java/larkbank/lading/Fault.java
@@ -1,5 +1,7 @@
 package larkbank.lading;
 
+import java.util.Locale;
+
 /** Every way in which a call or a request can fail here, and the answer to each. The list is closed. */
 public enum Fault {
     /** No route of the configuration takes it. */
@@ -42,6 +44,11 @@
         return status;
     }
 
+    /** As it is told to people. */
+    public String words() {
+        return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     /** Whether the answer says when to come back. */
     public boolean saysWhen() {
         return again;
--- a/src/main/java/larkbank/pilot/Answers.java
+++ b/src/main/java/larkbank/pilot/Answers.java
@@ -1,6 +1,5 @@
 package larkbank.pilot;
 
-import java.util.Locale;
 import larkbank.gangway.Answer;
 import larkbank.lading.Fault;
 
@@ -13,7 +12,7 @@
 
     /** @param againMicros when to come back, where the fault says so */
     static Answer of(Fault fault, long againMicros) {
-        Answer answer = Answer.text(fault.status(), fault.name().toLowerCase(Locale.ROOT).replace('_', ' '));
+        Answer answer = Answer.text(fault.status(), fault.words());
         return fault.saysWhen() ? answer.withHeader("Retry-After", seconds(againMicros)) : answer;
     }
 
--- a/src/main/java/larkbank/pilot/Front.java
+++ b/src/main/java/larkbank/pilot/Front.java
@@ -13,6 +13,7 @@
 import larkbank.gangway.Headers;
 import larkbank.gangway.Host;
 import larkbank.lading.Fault;
+import larkbank.logbook.Wake;
 import larkbank.manifest.RouteTerms;
 import larkbank.manifest.Split;
 import larkbank.manifest.TenantTerms;
@@ -37,20 +38,23 @@
     private final Supplier<String> caller;
     private final Quotas quotas;
     private final BiFunction<String, Boolean, Helm> helms;
+    private final Wake wake;
     private final Map<String, Long> counts = new HashMap<>();
     private long numbers;
 
     /**
      * @param caller the service of this machine
      * @param helms the way to a service, for requests of tenants or for calls without one
+     * @param wake where it is kept which way requests went
      */
     Front(LongSupplier micros, Supplier<Bearings> bearings, Supplier<String> caller, Quotas quotas,
-            BiFunction<String, Boolean, Helm> helms) {
+            BiFunction<String, Boolean, Helm> helms, Wake wake) {
         this.micros = micros;
         this.bearings = bearings;
         this.caller = caller;
         this.quotas = quotas;
         this.helms = helms;
+        this.wake = wake;
     }
 
     @Override
@@ -109,7 +113,7 @@
         }
         helm.take(new Passage(Long.toString(++numbers), call, id, route,
                 tenant == null ? null : tenant.name(), rank, tenant == null, arrived, aimAt,
-                deadline, headers));
+                deadline, headers, wake));
     }
 
     private static long millis(String text) {
@@ -154,6 +158,8 @@
     private void refuse(Call call, Fault fault, long againMicros) {
         counts.merge(fault.name(), 1L, Long::sum);
         Answer answer = Answers.of(fault, againMicros);
+        wake.request(call.header(ID), call.host(), call.path(), call.arrivedMicros());
+        wake.answer(micros.getAsLong(), answer.status(), fault);
         call.answer(answer);
     }
 
--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -29,6 +29,7 @@
 import larkbank.gangway.Answer;
 import larkbank.gangway.Headers;
 import larkbank.lading.Fault;
+import larkbank.logbook.Wake;
 import larkbank.quay.Freight;
 import larkbank.quay.Load;
 import larkbank.quay.Outcome;
@@ -113,12 +114,18 @@
         return open.size();
     }
 
+    /** Tells of requests with that id which are still in hand. */
+    void tell(String id, Wake to) {
+        open.values().stream().filter(p -> p.id.equals(id)).forEach(p -> p.tell(service, to));
+    }
+
     /** Refusals and failures of the mesh's own here, by kind. */
     Map<Fault, Long> counts() {
         return counts;
     }
 
-    private Answer own(Fault fault, long againMicros) {
+    private Answer own(Passage p, Fault fault, long againMicros) {
+        p.fault = fault;
         counts.merge(fault, 1L, Long::sum);
         return Answers.of(fault, againMicros);
     }
@@ -129,7 +136,7 @@
         open.put(passage.number, passage);
         passage.call.whenGone(() -> left(passage));
         if (!hasServers) {
-            passage.answer(own(Fault.NOT_READY, 200_000));
+            passage.answer(own(passage, Fault.NOT_READY, 200_000));
             forget(passage);
             return;
         }
@@ -185,7 +192,9 @@
     /** A passage is kept until the last of its attempts has ended. */
     private void forget(Passage p) {
         if (p.answered && p.tries.stream().noneMatch(t -> t.outcome == null)) {
-            open.remove(p.number);
+            if (open.remove(p.number) != null) {
+                p.ended(service);
+            }
         }
     }
 
@@ -246,6 +255,7 @@
         }
         long now = micros.getAsLong();
         one.outcome = reply.outcome();
+        one.endedAt = now;
         Result result = result(reply.outcome());
         boolean served = result == Result.SERVED;
         if (reply.outcome() instanceof Outcome.Answered a && !p.answered) {
@@ -303,7 +313,7 @@
         if (p.mayHaveRun()) {
             end(p);
         } else {
-            p.answer(own(Fault.NO_ROOM, retryAfterMicros));
+            p.answer(own(p, Fault.NO_ROOM, retryAfterMicros));
             forget(p);
         }
     }
@@ -321,9 +331,9 @@
         if (p.kept != null) {
             p.answer(p.kept);
         } else if (!p.mayHaveRun()) {
-            p.answer(own(Fault.NO_ROOM, 100_000));
+            p.answer(own(p, Fault.NO_ROOM, 100_000));
         } else {
-            p.answer(own(micros.getAsLong() >= p.deadline - TICK ? Fault.TIMED_OUT : Fault.BROKEN, 0));
+            p.answer(own(p, micros.getAsLong() >= p.deadline - TICK ? Fault.TIMED_OUT : Fault.BROKEN, 0));
         }
         forget(p);
     }
--- a/src/main/java/larkbank/pilot/Passage.java
+++ b/src/main/java/larkbank/pilot/Passage.java
@@ -1,13 +1,18 @@
 package larkbank.pilot;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Call;
+import larkbank.lading.Fault;
+import larkbank.logbook.Wake;
 import larkbank.manifest.RouteTerms;
 import larkbank.quay.Outcome;
+import larkbank.quay.Reason;
 
 /** One request of a client, from its arrival to its one answer, and all attempts at it. */
 final class Passage {
@@ -18,6 +23,7 @@
         final long sentAt;
         Carrier.Ride ride;
         Outcome outcome;
+        long endedAt;
         /** Its deadline came while it was out. */
         boolean over;
 
@@ -29,8 +35,21 @@
         boolean mayHaveRun() {
             return !(outcome instanceof Outcome.NotRun);
         }
+
+        /** In words; null while it is out. */
+        private String words() {
+            if (outcome instanceof Outcome.Answered a) {
+                return over ? "answered late" : a.status() < 500 ? "answered" : "answered an error";
+            } else if (outcome instanceof Outcome.NotRun n) {
+                return NOT_RUN[n.reason().ordinal()];
+            }
+            return outcome instanceof Outcome.MayHaveRun m ? m.why() : null;
+        }
     }
 
+    private static final String[] NOT_RUN = Arrays.stream(Reason.values()).map(reason -> "not run: "
+            + reason.name().toLowerCase(Locale.ROOT).replace('_', ' ')).toArray(String[]::new);
+
     final String number;
     final Call call;
     final String id;
@@ -46,12 +65,18 @@
     /** The server's own answer that is no success, kept in case that no other comes. */
     Answer kept;
     boolean answered;
+    /** Where it is kept, once it has ended, which way it went. */
+    private final Wake wake;
+    private long answeredAt;
+    private int status;
+    /** What the mesh's own answer says; null for a server's. */
+    Fault fault;
     ScheduledFuture<?> atDeadline;
     ScheduledFuture<?> patience;
 
     Passage(String number, Call call, String id, RouteTerms route, String tenant, int rank,
             boolean inner, long arrivedAt, long aimAt, long deadline,
-            List<Map.Entry<String, String>> headers) {
+            List<Map.Entry<String, String>> headers, Wake wake) {
         this.number = number;
         this.call = call;
         this.id = id;
@@ -63,6 +88,26 @@
         this.aimAt = aimAt;
         this.deadline = deadline;
         this.headers = headers;
+        this.wake = wake;
+    }
+
+    /** Nothing more becomes of it. */
+    void ended(String service) {
+        tell(service, wake);
+    }
+
+    /** Tells which way it went, so far. */
+    void tell(String service, Wake to) {
+        to.request(id, call.host(), call.path(), arrivedAt);
+        to.way(route.name(), service, tenant);
+        if (answered) {
+            to.answer(answeredAt, status, fault);
+        }
+        for (int i = 0; i < tries.size(); i++) {
+            Try one = tries.get(i);
+            to.leg(one.target == null ? null : one.target.instance(),
+                    one.target == null ? null : one.target.pilot(), one.sentAt, one.endedAt, one.words());
+        }
     }
 
     /** Whether any attempt has run, may have run or may still run. */
@@ -80,12 +125,14 @@
             return false;
         }
         end();
+        status = answer.status();
         return call.answer(answer);
     }
 
     /** Nothing is owed any more. */
     void end() {
         answered = true;
+        answeredAt = wake.now();
         if (atDeadline != null) {
             atDeadline.cancel(false);
         }
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -32,6 +32,7 @@
 import larkbank.lading.Scribe;
 import larkbank.lading.Wharf;
 import larkbank.logbook.StateDesk;
+import larkbank.logbook.Wake;
 import larkbank.manifest.ClientLimits;
 import larkbank.papers.Boot;
 import larkbank.papers.NodePapers;
@@ -54,6 +55,8 @@
     private static final int TICKS_A_LOOK = 20;
     /** What is told once and again heals whatever a harbour has missed. */
     private static final int TICKS_A_TELLING = 40;
+    /** Requests in hand with one id that are told of at most. */
+    private static final int OPEN_TOLD = 16;
     private static final long KEEP_VIEW = 3_000_000;
     /** Part of the drain's time after which nothing more is handed to a server that drains. */
     private static final double DRAIN_PART = 0.8;
@@ -73,6 +76,7 @@
     private final Roster roster = new Roster(KEEP_VIEW);
     private final Following following = new Following();
     private final Quotas quotas = new Quotas();
+    private final Wake wake = new Wake(clock, Wake.USUAL);
     private final Map<String, Helm> helms = new HashMap<>();
     /** The ways of servers' own calls: what clients press on must not hold them up. */
     private final Map<String, Helm> inner = new HashMap<>();
@@ -105,7 +109,7 @@
         lookout = new Lookout(wharf, clock, papers.name(), ships::berth, roster, following, quotas,
                 this::newBearings);
         front = new Front(clock, () -> bearings, () -> this.papers.service(), quotas,
-                (service, calls) -> calls ? helm(inner, service) : helm(helms, service));
+                (service, calls) -> calls ? helm(inner, service) : helm(helms, service), wake);
     }
 
     /** Runs until the process is ended; a status above 0 where it can't start. */
@@ -129,7 +133,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(ended), "end"));
         Map<String, String> listen = papers.listen();
         Gangway.open(group, Addresses.parse(listen.get("controlPlane")), () -> OWN_CALLS, clock,
-                new StateDesk(ships, this::state));
+                new StateDesk(ships, new Told()));
         wharf.listen(Addresses.parse(own), landing);
         loop.execute(() -> lookout.seeds(papers.seedLines()));
         Gangway.open(group, Addresses.parse(listen.get("readiness")), () -> OWN_CALLS, clock, call ->
@@ -261,6 +265,23 @@
     }
 
     /** What operators are told of this pilot. */
+    private final class Told implements StateDesk.Teller {
+        @Override
+        public Map<String, Object> state(boolean items) {
+            return Pilot.this.state(items);
+        }
+
+        @Override
+        public List<Object> why(String id) {
+            List<Object> all = new ArrayList<>(wake.of(id));
+            Wake open = new Wake(clock, OPEN_TOLD);
+            helms.values().forEach(helm -> helm.tell(id, open));
+            inner.values().forEach(helm -> helm.tell(id, open));
+            all.addAll(open.of(id));
+            return all;
+        }
+    }
+
     private Map<String, Object> state(boolean items) {
         PilotState its = new PilotState(clock.getAsLong(), papers.name(), bearings);
         its.harbours(lookout);
--- a/src/test/java/larkbank/pilot/HelmTest.java
+++ b/src/test/java/larkbank/pilot/HelmTest.java
@@ -89,6 +89,37 @@
         assertThat(client.status()).isEqualTo(201);
     }
 
+    @Test
+    void whichWayARequestWentIsKept() {
+        Hull hull = new Hull(3);
+        hull.ask(false);
+        hull.advance(2_000);
+        assertThat(hull.wake.of("id1")).isEmpty();
+        hull.helm().tell("id1", hull.wake);
+        assertThat(hull.wake.of("id1")).singleElement().asString().contains("answer=none yet", "still out");
+        hull.sent.get(0).ends(notRun(Reason.FULL));
+        hull.advance(100_000);
+        hull.sent.get(1).answers(201);
+        hull.advance(0);
+        String told = hull.wake.of("id1").get(1).toString();
+        assertThat(told).contains("route=r", "service=s", "tenant=t", "answer=201", "sentMs=0.0, tookMs=2.0, "
+                + "outcome=not run: full", "outcome=answered", "server=" + hull.sent.get(1).target.instance())
+                .doesNotContain("fault");
+        assertThat(told.indexOf(hull.sent.get(0).target.pilot())).isLessThan(told.indexOf("outcome=answered"));
+        hull.ask(false);
+        hull.sent.get(2).ends(LOST);
+        hull.advance(0);
+        assertThat(hull.wake.of("id2")).singleElement().asString().contains("answer=502, fault=broken",
+                "outcome=lost");
+        for (int i = 0; i < 4; i++) {
+            hull.ask(true);
+            hull.sent.get(3 + i).answers(200);
+            hull.advance(0);
+        }
+        assertThat(hull.wake.of("id1")).isEmpty();
+        assertThat(hull.wake.of("id6")).hasSize(1);
+    }
+
     @Test
     void whatCanBeRepeatedIs() {
         Hull hull = new Hull(3);
--- a/src/test/java/larkbank/pilot/Hull.java
+++ b/src/test/java/larkbank/pilot/Hull.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import larkbank.gangway.Answer;
 import larkbank.gangway.Call;
+import larkbank.logbook.Wake;
 import larkbank.manifest.RouteTerms;
 import larkbank.manifest.Split;
 import larkbank.quay.Freight;
@@ -125,6 +126,7 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final Helm helm;
     private long now = 1_000_000_000L;
+    final Wake wake = new Wake(() -> now, 4);
     private long numbers;
 
     Hull(int servers) {
@@ -169,7 +171,7 @@
                 List.of(new Split("s", 1)), 3, false);
         String number = Long.toString(++numbers);
         helm.take(new Passage(number, client, "id" + number, route, "t", 1, false, now, now + AIM,
-                now + LEFT, List.of()));
+                now + LEFT, List.of(), wake));
         advance(0);
         return client;
     }
