Each process tells where it is asked, and harbours whom they miss

Whoever asks one process could not learn where to ask the others: berths told the address of lines only. A berth, a harbour's hello and its welcome now carry the controlPlane address (told with ipAddress where it listens everywhere); messages without it still parse. A harbour names for an hour who went without saying that it leaves, so that a crashed pilot is not left out in silence.

--- a/src/main/java/larkbank/berth/Berth.java
+++ b/src/main/java/larkbank/berth/Berth.java
@@ -9,15 +9,16 @@
  * within a life a higher number.
  *
  * @param address where its lines are taken
+ * @param control where it answers what operators ask; empty of a pilot that does not tell it
  * @param leaving whether it ends soon and takes nothing new
  * @param ship null where no server is known
  */
-public record Berth(String name, long life, long number, String address, String zone, String service,
+public record Berth(String name, long life, long number, String address, String control, String zone, String service,
         boolean leaving, Ship ship) {
 
     public Map<String, Object> toMap(long now) {
-        return Scribe.map("name", name, "life", life, "number", number, "address", address, "zone", zone,
-                "service", service, "leaving", leaving, "ship", ship == null ? null : ship.toMap(now));
+        return Scribe.map("name", name, "life", life, "number", number, "address", address, "control", control,
+                "zone", zone, "service", service, "leaving", leaving, "ship", ship == null ? null : ship.toMap(now));
     }
 
     /** What was told; null where it is no berth. */
@@ -26,8 +27,8 @@
             return null;
         }
         return new Berth(Scribe.text(map, "name"), Json.whole(map, "life", 0), Json.whole(map, "number", 0),
-                Scribe.text(map, "address"), Scribe.text(map, "zone"), Scribe.text(map, "service"),
-                Json.flag(map, "leaving"), Ship.of(Json.object(map, "ship"), now));
+                Scribe.text(map, "address"), Scribe.text(map, "control"), Scribe.text(map, "zone"),
+                Scribe.text(map, "service"), Json.flag(map, "leaving"), Ship.of(Json.object(map, "ship"), now));
     }
 
     /** Whether this tells more than the other, which may be null. */
--- a/src/main/java/larkbank/berth/Register.java
+++ b/src/main/java/larkbank/berth/Register.java
@@ -12,6 +12,12 @@
  */
 public final class Register {
 
+    /** Who was taken out without having said that it leaves. */
+    public record Missed(Berth berth, long since) { }
+
+    private static final int MOST_MISSED = 256;
+    private static final long KEEP_MISSED = 3_600_000_000L;
+
     private static final class Entry {
         private Berth berth;
         private Object line;
@@ -20,6 +26,14 @@
 
     private final long grace;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Missed> missed = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Missed> eldest) {
+            return size() > MOST_MISSED;
+        }
+    };
 
     /** @param graceMicros for which a pilot whose line has gone is still told of */
     public Register(long graceMicros) {
@@ -37,6 +51,7 @@
         entry.berth = berth;
         entry.line = line;
         entry.lostAt = 0;
+        missed.remove(berth.name());
         return news;
     }
 
@@ -66,10 +81,23 @@
                 gone.add(name);
             }
         });
-        gone.forEach(entries::remove);
+        gone.forEach(name -> remove(now, name));
+        missed.values().removeIf(one -> now - one.since > KEEP_MISSED);
         return gone;
     }
 
+    private void remove(long now, String name) {
+        Berth berth = entries.remove(name).berth;
+        if (!berth.leaving()) {
+            missed.put(name, new Missed(berth, now));
+        }
+    }
+
+    /** Who is missed and has not come back; the last of them, each for an hour. */
+    public Collection<Missed> missed() {
+        return List.copyOf(missed.values());
+    }
+
     public Berth get(String name) {
         Entry entry = entries.get(name);
         return entry == null ? null : entry.berth;
--- a/src/main/java/larkbank/harbour/Harbour.java
+++ b/src/main/java/larkbank/harbour/Harbour.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -62,11 +63,13 @@
     private final Wharf wharf = new Wharf(group, clock);
     private final String own;
     private final long life = System.currentTimeMillis() * 1000;
-    private final NewsDesk news = new NewsDesk(clock, life);
+    private final NewsDesk news;
     private final Moorings others;
     private volatile Keeping keeping;
     /** Harbours that have a line here, whoever they are: one that asks to be let in is told the answer. */
     private final Map<Line, String> callers = new HashMap<>();
+    /** Where other harbours are asked, as each has said; kept after its line has ended. */
+    private final Map<String, String> controls = new HashMap<>();
     private List<String> seeds;
     private long ticks;
 
@@ -74,9 +77,11 @@
         this.papers = papers;
         this.file = file;
         own = papers.lines(papers.ip());
+        news = new NewsDesk(clock, life, papers.control());
         seeds = List.copyOf(papers.seedLines());
         others = new Moorings(wharf, clock, LINES,
-                () -> Scribe.map("t", "hello", "kind", "harbour", "address", own), new Others());
+                () -> Scribe.map("t", "hello", "kind", "harbour", "address", own,
+                        "control", papers.control()), new Others());
     }
 
     /** Runs until the process is ended; a status above 0 where it can't start. */
@@ -96,8 +101,8 @@
         wharf.listen(Addresses.parse(own), new Lines());
         Gangway.open(group, Addresses.parse(papers.listen().get("controlPlane")), () -> OPERATORS, clock,
                 new StateDesk(new OperatorDesk(() -> keeping, clock), items -> HarbourState.of(
-                        clock.getAsLong(), papers.name(), life, keeping == null ? null : keeping.copies(),
-                        news, items)));
+                        clock.getAsLong(), papers.name(), papers.control(), life, harbours(),
+                        keeping == null ? null : keeping.copies(), news, items)));
         LOG.info("Harbour " + papers.name() + " listens.");
         try {
             ended.await();
@@ -106,6 +111,14 @@
         }
     }
 
+    /** All other harbours that lines are wanted to, and where each has said that it is asked. */
+    private List<Object> harbours() {
+        List<Object> all = new ArrayList<>();
+        others.addresses().stream().sorted().forEach(address -> all.add(Scribe.map("address", address,
+                "control", controls.get(address), "heard", others.isClear(address))));
+        return all;
+    }
+
     private void openStore() {
         try {
             Store store = new XodusStore(Path.of(papers.dataDirectory()));
@@ -174,6 +187,7 @@
                 if (Scribe.text(head, "kind").equals("harbour")) {
                     line.owner(Scribe.text(head, "address"));
                     callers.put(line, Scribe.text(head, "address"));
+                    controls.put(Scribe.text(head, "address"), Scribe.text(head, "control"));
                 } else {
                     news.welcome(line, Scribe.text(head, "name"));
                 }
--- a/src/main/java/larkbank/harbour/HarbourState.java
+++ b/src/main/java/larkbank/harbour/HarbourState.java
@@ -15,11 +15,16 @@
 
     private HarbourState() { }
 
-    /** @param copies null as long as the disk is not open */
-    static Map<String, Object> of(long now, String name, long life, Copies copies, NewsDesk news,
-            boolean items) {
+    /**
+     * @param control where this harbour is asked
+     * @param harbours the others
+     * @param copies null as long as the disk is not open
+     */
+    static Map<String, Object> of(long now, String name, String control, long life, List<Object> harbours,
+            Copies copies, NewsDesk news, boolean items) {
         Manifest manifest = news.editions().manifest();
-        Map<String, Object> state = Scribe.map("kind", "harbour", "name", name, "life", life,
+        Map<String, Object> state = Scribe.map("kind", "harbour", "name", name, "control", control,
+                "life", life,
                 "stamp", news.editions().stamp().toString(), "items", manifest.size(),
                 "open", copies != null);
         if (copies != null) {
@@ -30,6 +35,12 @@
         List<Object> berths = new ArrayList<>();
         news.register().all().forEach(berth -> berths.add(line(berth, news.silence(berth.name()))));
         state.put("berths", berths);
+        state.put("harbours", harbours);
+        List<Object> missed = new ArrayList<>();
+        news.register().missed().forEach(one -> missed.add(Scribe.map("name", one.berth().name(),
+                "control", one.berth().control(), "address", one.berth().address(),
+                "goneMs", (now - one.since()) / 1000)));
+        state.put("missed", missed);
         state.put("tallies", news.asked());
         if (items) {
             state.put("list", Listing.of(manifest));
@@ -39,7 +50,7 @@
 
     private static Map<String, Object> line(Berth berth, long silence) {
         Ship ship = berth.ship();
-        return Scribe.map("name", berth.name(), "address", berth.address(), "zone", berth.zone(),
+        return Scribe.map("name", berth.name(), "address", berth.address(), "control", berth.control(), "zone", berth.zone(),
                 "service", ship == null ? berth.service() : ship.service(),
                 "server", ship == null ? null : ship.id(), "slots", ship == null ? null : ship.slots(),
                 "draining", ship != null && ship.draining(), "leaving", berth.leaving(),
--- a/src/main/java/larkbank/harbour/NewsDesk.java
+++ b/src/main/java/larkbank/harbour/NewsDesk.java
@@ -43,6 +43,7 @@
 
     private final LongSupplier micros;
     private final long life;
+    private final String control;
     private final Register register = new Register(GRACE);
     private final RosterLog log = new RosterLog();
     private final Editions editions = new Editions();
@@ -50,7 +51,9 @@
     private final Map<Line, Seat> seats = new LinkedHashMap<>();
     private List<String> crew = List.of();
 
-    NewsDesk(LongSupplier micros, long life) {
+    /** @param control where this harbour is asked by operators */
+    NewsDesk(LongSupplier micros, long life, String control) {
+        this.control = control;
         this.micros = micros;
         this.life = life;
     }
@@ -85,7 +88,7 @@
         seats.put(line, new Seat(name));
         line.owner(name);
         line.send(Scribe.map("t", "welcome", "life", life, "crew", crew,
-                "stamp", editions.stamp().toString()));
+                "control", control, "stamp", editions.stamp().toString()));
     }
 
     void heard(Line line, Map<String, Object> head) {
--- a/src/main/java/larkbank/papers/NodePapers.java
+++ b/src/main/java/larkbank/papers/NodePapers.java
@@ -21,6 +21,8 @@
         Map<String, String> listen, int firstPort, int lastPort, List<String> seeds,
         Map<String, String> zones, long heartbeatMicros, Map<String, Double> bounds) {
 
+    private static final Set<String> EVERYWHERE = Set.of("0.0.0.0", "[::]");
+
     /** Reads and checks a whole file; else all that is wrong with it, a line each. */
     public static Either<List<String>, NodePapers> read(byte[] file) {
         Either<String, Map<String, Object>> read = Sheets.read(file);
@@ -68,6 +70,13 @@
         return bounds.getOrDefault(name, otherwise);
     }
 
+    /** Where the process is asked by others; empty where it is not. */
+    public String control() {
+        String at = listen.getOrDefault("controlPlane", "");
+        int colon = at.lastIndexOf(':');
+        return EVERYWHERE.contains(at.substring(0, Math.max(0, colon))) ? ip + at.substring(colon) : at;
+    }
+
     /** Where harbours are reached that the file names. */
     public Set<String> seedLines() {
         Set<String> lines = new TreeSet<>();
--- a/src/main/java/larkbank/pilot/Lookout.java
+++ b/src/main/java/larkbank/pilot/Lookout.java
@@ -37,6 +37,7 @@
     private final Runnable newBearings;
     private final Moorings moorings;
     private final Map<String, Place> places = new HashMap<>();
+    private final Map<String, String> controls = new HashMap<>();
     private final Set<String> heard = new HashSet<>();
     private Set<String> seeds = Set.of();
     private Set<String> crew = Set.of();
@@ -123,6 +124,11 @@
         quotas.silent(address);
     }
 
+    /** Where a harbour is asked by operators, as it said last; null where it never did. */
+    String control(String address) {
+        return controls.get(address);
+    }
+
     /** All harbours that lines are wanted to, each with whether it is heard. */
     Map<String, Boolean> harbours() {
         Map<String, Boolean> all = new TreeMap<>();
@@ -144,6 +150,9 @@
         heard.add(address);
         switch (Scribe.text(head, "t")) {
             case "welcome", "stamp" -> {
+                if (head.containsKey("control")) {
+                    controls.put(address, Scribe.text(head, "control"));
+                }
                 following.shows(address, Stamp.of(Scribe.text(head, "stamp")));
                 Set<String> told = new HashSet<>();
                 Json.array(head, "crew").forEach(one -> told.add(String.valueOf(one)));
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -283,8 +283,9 @@
     }
 
     private Map<String, Object> state(boolean items) {
-        PilotState its = new PilotState(clock.getAsLong(), papers.name(), bearings);
+        PilotState its = new PilotState(clock.getAsLong(), papers.name(), papers.control(), bearings);
         its.harbours(lookout);
+        its.pilots(roster);
         its.peers(peers, down);
         its.servers(roster, ships.berth(), this::reaches, hops);
         its.own(ships.berth(), quay.load());
--- a/src/main/java/larkbank/pilot/PilotState.java
+++ b/src/main/java/larkbank/pilot/PilotState.java
@@ -26,17 +26,18 @@
     private final Bearings bearings;
     private final Map<String, Object> state;
 
-    PilotState(long now, String name, Bearings bearings) {
+    PilotState(long now, String name, String control, Bearings bearings) {
         this.now = now;
         this.bearings = bearings;
-        state = Scribe.map("kind", "pilot", "name", name, "stamp", bearings.stamp().toString(),
-                "items", bearings.manifest().size());
+        state = Scribe.map("kind", "pilot", "name", name, "control", control,
+                "stamp", bearings.stamp().toString(), "items", bearings.manifest().size());
     }
 
     void harbours(Lookout lookout) {
         List<Object> all = new ArrayList<>();
         lookout.harbours().forEach((address, heard) ->
-                all.add(Scribe.map("address", address, "heard", heard)));
+                all.add(Scribe.map("address", address, "control",
+                        lookout.control(address), "heard", heard)));
         state.put("harbours", all);
     }
 
@@ -51,6 +52,14 @@
         state.put("peers", all);
     }
 
+    /** All pilots that are known of, and where each is asked. */
+    void pilots(Roster roster) {
+        List<Object> all = new ArrayList<>();
+        roster.all().forEach(berth -> all.add(Scribe.map("name", berth.name(), "address", berth.address(),
+                "control", berth.control())));
+        state.put("pilots", all);
+    }
+
     /** Every server that is known of, with whether it is in the choice. */
     void servers(Roster roster, Berth own, Predicate<Berth> reaches, Hops hops) {
         Map<String, List<Object>> services = new TreeMap<>();
--- a/src/main/java/larkbank/pilot/ShipDesk.java
+++ b/src/main/java/larkbank/pilot/ShipDesk.java
@@ -58,7 +58,7 @@
 
     /** What this pilot tells of itself. */
     Berth berth() {
-        return new Berth(papers.name(), life, number, papers.lines(papers.ip()), papers.zone(),
+        return new Berth(papers.name(), life, number, papers.lines(papers.ip()), papers.control(), papers.zone(),
                 papers.service() == null ? "" : papers.service(), leaving, ship);
     }
 
--- a/src/test/java/larkbank/berth/RegisterTest.java
+++ b/src/test/java/larkbank/berth/RegisterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Who is there as a harbour knows it. */
@@ -24,6 +25,20 @@
         assertThat(register.all()).extracting(Berth::name).containsExactly("b");
     }
 
+    @Test
+    void whoHasNotSaidThatItLeavesIsMissedUntilItComesBack() {
+        register.told("l1", Berths.of("a", 1, 1));
+        register.told("l2", Berths.of("b", 1, 1));
+        register.told("l3", new Berth("c", 1, 1, "10.0.0.1:7000", "", "z", "s", true, null));
+        List.of("l1", "l2", "l3").forEach(line -> register.lost(1_000, line));
+        register.sweep(1_001 + GRACE);
+        assertThat(register.missed()).extracting(one -> one.berth().name()).containsExactly("a", "b");
+        register.told("l1", Berths.of("a", 2, 1));
+        assertThat(register.missed()).extracting(one -> one.berth().name()).containsExactly("b");
+        register.sweep(4_000_000_000L);
+        assertThat(register.missed()).isEmpty();
+    }
+
     @Test
     void anotherLineInTimeKeepsIt() {
         register.told("l1", Berths.of("a", 1, 1));
