--- a/src/main/java/larkbank/bridge/Asker.java
+++ b/src/main/java/larkbank/bridge/Asker.java
@@ -9,14 +9,14 @@
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import larkbank.lading.Calls;
 import larkbank.lading.Scribe;
 
-/** Asks all addresses for their state at once; each has the same time to answer. */
+/** Makes a call to all addresses at once; each has the same time to answer. */
 final class Asker {
 
     private final HttpClient client;
@@ -29,28 +29,29 @@
     }
 
     /** One answer for each address, in their order. */
-    List<Said> ask(List<String> addresses, boolean items) {
-        List<CompletableFuture<Said>> asked = addresses.stream().map(at -> ask(at, items)).toList();
+    List<Said> ask(List<String> addresses, String path) {
+        List<CompletableFuture<Said>> asked = addresses.stream().map(at -> ask(at, path)).toList();
         return asked.stream().map(CompletableFuture::join).toList();
     }
 
-    private CompletableFuture<Said> ask(String at, boolean items) {
-        URI uri = URI.create("http://" + at + Calls.STATE.path() + (items ? "?items" : ""));
+    private CompletableFuture<Said> ask(String at, String path) {
+        URI uri = URI.create("http://" + at + path);
         HttpRequest request = HttpRequest.newBuilder(uri).timeout(patience).GET().build();
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
                 .orTimeout(patience.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(answer -> said(at, answer))
-                .exceptionally(e -> new Said(at, null, why(e)));
+                .exceptionally(e -> new Said(at, "", null, why(e)));
     }
 
     private static Said said(String at, HttpResponse<byte[]> answer) {
         if (answer.statusCode() != 200) {
-            return new Said(at, null, "answers " + answer.statusCode());
+            return new Said(at, "", null, "answers " + answer.statusCode());
         }
         try {
-            return new Said(at, Scribe.read(answer.body(), 0, answer.body().length), null);
+            Map<String, Object> state = Scribe.read(answer.body(), 0, answer.body().length);
+            return new Said(at, Scribe.text(state, "name"), state, null);
         } catch (IOException e) {
-            return new Said(at, null, "answers what is no JSON");
+            return new Said(at, "", null, "answers what is no JSON");
         }
     }
 
--- a/src/main/java/larkbank/bridge/Bridge.java
+++ b/src/main/java/larkbank/bridge/Bridge.java
@@ -1,6 +1,7 @@
 package larkbank.bridge;
 
 import java.io.PrintWriter;
+import java.util.List;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
@@ -14,10 +15,12 @@
         synopsisSubcommandLabel = "COMMAND",
         footer = {"", "Programs: pilot, harbour (settings file in CYPRESSWEIR_NODE_FILE).",
             "Exit status: 0 done; 1 nobody answers, or a file can't be read; 2 wrong use, or a bad file; "
-                + "3 some don't answer; 4 no such route."},
+                + "3 some don't answer; 4 no such route, or request; "
+                + "5 not the same."},
         subcommands = {ServeCommand.PilotCommand.class, ServeCommand.HarbourCommand.class, CheckCommand.class,
-            FleetCommand.class, ItemsCommand.class, RouteCommand.class, CopiesCommand.class,
-            TalliesCommand.class, StateCommand.class, HelpCommand.class})
+            ShellCommand.class, FleetCommand.class, ItemsCommand.class, RouteCommand.class,
+            CopiesCommand.class, ShownCommand.class, SightsCommand.class, TalliesCommand.class,
+            RefusalsCommand.class, WhyCommand.class, DiffCommand.class, StateCommand.class, HelpCommand.class})
 final class Bridge implements Runnable {
 
     static final int DONE = 0;
@@ -27,23 +30,51 @@
     static final int BAD = 2;
     static final int SOME_SILENT = 3;
     static final int NO_ROUTE = 4;
+    /** What was compared is not the same. */
+    static final int DIFFERENT = 5;
 
+    private final List<String> usual;
+    private final Paint paint;
     @Spec
     private CommandSpec spec;
 
+    /** @param usual whom questions ask that name nobody */
+    Bridge(List<String> usual, Paint paint) {
+        this.usual = usual;
+        this.paint = paint;
+    }
+
+    List<String> usual() {
+        return usual;
+    }
+
+    Paint paint() {
+        return paint;
+    }
+
     /** Runs a command; the exit status. */
     static int run(String... args) {
-        return run(new PrintWriter(System.out, true), new PrintWriter(System.err, true), args);
+        return new Bridge(List.of(), Paint.usual()).line(new PrintWriter(System.out, true),
+                new PrintWriter(System.err, true)).execute(args);
     }
 
     static int run(PrintWriter out, PrintWriter err, String... args) {
-        return new CommandLine(new Bridge()).setOut(out).setErr(err)
+        return new Bridge(List.of(), Paint.OFF).line(out, err).execute(args);
+    }
+
+    /** All commands and some more, ready to be run once. */
+    CommandLine line(PrintWriter out, PrintWriter err, Object... more) {
+        CommandLine line = new CommandLine(this);
+        for (Object one : more) {
+            line.addSubcommand(one);
+        }
+        return line.setOut(out).setErr(err)
                 .setExitCodeExceptionMapper(e -> NOBODY)
                 .setParameterExceptionHandler((e, given) -> wrong(e, err))
-                .setExecutionExceptionHandler((e, line, result) -> {
+                .setExecutionExceptionHandler((e, failed, result) -> {
                     err.println("cypressweir: " + e);
                     return NOBODY;
-                }).execute(args);
+                });
     }
 
     private static int wrong(ParameterException e, PrintWriter err) {
--- a/src/main/java/larkbank/bridge/CopiesCommand.java
+++ b/src/main/java/larkbank/bridge/CopiesCommand.java
@@ -8,10 +8,15 @@
 
 /** {@code copies}: which configuration stands where, and how copies are. */
 @Command(name = "copies", mixinStandardHelpOptions = true, versionProvider = Version.class,
-        description = "The configuration's stamp where one asks; of harbours their copies, of pilots how "
-                + "many harbours are heard.")
+        description = "The configuration's stamp where one asks; of harbours their copies, and how many "
+                + "other harbours are heard.")
 final class CopiesCommand extends Query {
 
+    @Override
+    boolean wide() {
+        return true;
+    }
+
     @Override
     List<String> columns() {
         return List.of("kind", "name", "stamp", "items", "open", "forgetful", "sick", "crew", "heard");
--- /dev/null
+++ b/src/main/java/larkbank/bridge/Paint.java
@@ -0,0 +1,26 @@
+package larkbank.bridge;
+
+/** Colour, where a terminal shows it. */
+record Paint(boolean on) {
+
+    static final Paint OFF = new Paint(false);
+
+    /** On where both ends are a terminal and nobody has said that no colour is wanted. */
+    static Paint usual() {
+        String term = System.getenv("TERM");
+        return new Paint(System.console() != null && System.getenv("NO_COLOR") == null && term != null
+                && !term.equals("dumb"));
+    }
+
+    String head(String text) {
+        return painted("1", text);
+    }
+
+    String bad(String text) {
+        return painted("31", text);
+    }
+
+    private String painted(String code, String text) {
+        return on ? "\u001b[" + code + "m" + text + "\u001b[0m" : text;
+    }
+}
--- a/src/main/java/larkbank/bridge/Query.java
+++ b/src/main/java/larkbank/bridge/Query.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import larkbank.Addresses;
+import larkbank.lading.Calls;
 import larkbank.lading.Scribe;
 import larkbank.papers.NodePapers;
 import picocli.CommandLine.Model.CommandSpec;
@@ -23,7 +24,7 @@
     @Spec
     private CommandSpec spec;
     @Option(names = "--at", paramLabel = "ADDRESS", description = "A controlPlane address to ask; may be "
-            + "repeated. Without it that of the settings file in CYPRESSWEIR_NODE_FILE.")
+            + "repeated. Without it that of the shell or the settings file in CYPRESSWEIR_NODE_FILE.")
     private List<String> at = new ArrayList<>();
     @Option(names = "--timeout", paramLabel = "MS", defaultValue = "2000",
             description = "How long each has to answer, in milliseconds (${DEFAULT-VALUE}).")
@@ -40,12 +41,54 @@
     @Option(names = "--watch", paramLabel = "SECONDS", description = "Ask again and again until ended.")
     private double watch;
 
+    @Option(names = "--all", description = "Ask also all that those tell of, and who these tell of.")
+    private boolean all;
+    @Option(names = "--only", description = "Ask nobody else, where a single address would be enough to ask "
+            + "all.")
+    private boolean only;
+
     /** All columns that there are. */
     abstract List<String> columns();
 
     /** Rows of one answer, without where it came from. */
     abstract List<Map<String, Object>> rows(Map<String, Object> state);
 
+    /** Rows of all answers. */
+    List<Map<String, Object>> table(List<Said> heard) {
+        List<Map<String, Object>> rows = new ArrayList<>();
+        for (Said one : heard) {
+            for (Map<String, Object> row : rows(one.state())) {
+                Map<String, Object> whole = Scribe.map("at", one.at());
+                whole.putAll(row);
+                rows.add(whole);
+            }
+        }
+        return rows;
+    }
+
+    /** Whether a row is of one process, which is then told. */
+    boolean isOfEach() {
+        return true;
+    }
+
+    /** Whether one address is enough to ask all. */
+    boolean wide() {
+        return false;
+    }
+
+    /** Asks; who doesn't answer is among what comes back. */
+    List<Said> ask(Asker asker, List<String> addresses) {
+        String path = Calls.STATE.path() + (items() ? "?items" : "");
+        return all || wide() && !only && addresses.size() == 1
+                ? new Muster(some -> asker.ask(some, path)).of(addresses) : asker.ask(addresses, path);
+    }
+
+    /** Whom to ask. */
+    List<String> addresses() {
+        List<String> usual = bridge().usual();
+        return !at.isEmpty() ? at : !usual.isEmpty() ? usual : List.of(own());
+    }
+
     /** Whether the list of items is wanted. */
     boolean items() {
         return false;
@@ -65,39 +108,44 @@
     }
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() {
         List<String> addresses = addresses();
-        List<String> all = new ArrayList<>(List.of("at"));
-        all.addAll(columns());
-        shown.forEach(column -> known(column, all));
+        addresses.forEach(this::checked);
+        List<String> names = new ArrayList<>(isOfEach() ? List.of("at") : List.of());
+        names.addAll(columns());
+        shown.forEach(column -> known(column, names));
         if (sort != null) {
-            known(sort, all);
+            known(sort, names);
         }
         for (String one : where) {
             if (one.indexOf('=') < 1) {
                 throw wrong("--where takes COLUMN=VALUE, not '" + one + "'");
             }
-            known(one.substring(0, one.indexOf('=')), all);
+            known(one.substring(0, one.indexOf('=')), names);
         }
         if (timeout < 1 || watch < 0) {
             throw wrong("times are above 0");
         }
         Asker asker = new Asker(timeout);
         while (true) {
-            int status = once(asker, addresses, all);
+            int status = once(asker, addresses, names);
             if (watch == 0) {
                 return status;
             }
-            Thread.sleep(Math.max(100, (long) (watch * 1000)));
+            try {
+                Thread.sleep(Math.max(100, (long) (watch * 1000)));
+            } catch (InterruptedException e) {
+                return status;
+            }
             if (!json) {
                 out().println();
             }
         }
     }
 
-    private int once(Asker asker, List<String> addresses, List<String> all) {
-        List<Said> said = asker.ask(addresses, items());
-        Sheet sheet = new Sheet(all, rows(said));
+    private int once(Asker asker, List<String> addresses, List<String> names) {
+        List<Said> said = ask(asker, addresses);
+        Sheet sheet = new Sheet(names, table(said.stream().filter(one -> !one.silent()).toList()));
         for (String one : where) {
             int equals = one.indexOf('=');
             sheet = sheet.where(one.substring(0, equals), one.substring(equals + 1));
@@ -110,44 +158,32 @@
                 : status(sheet);
     }
 
-    private List<Map<String, Object>> rows(List<Said> said) {
-        List<Map<String, Object>> rows = new ArrayList<>();
-        for (Said one : said) {
-            if (!one.silent()) {
-                for (Map<String, Object> row : rows(one.state())) {
-                    Map<String, Object> whole = Scribe.map("at", one.at());
-                    whole.putAll(row);
-                    rows.add(whole);
-                }
-            }
-        }
-        return rows;
-    }
-
     private void show(Sheet sheet, List<Said> silent, boolean nobody) {
         if (json) {
             List<Object> names = new ArrayList<>();
-            silent.forEach(s -> names.add(Scribe.map("at", s.at(), "why", s.why())));
+            silent.forEach(s -> names.add(Scribe.map("at", s.at(), "name", s.name(), "why", s.why())));
             out().println(new String(Scribe.bytes(Scribe.map("rows", sheet.rows(), "silent", names)),
                     StandardCharsets.UTF_8));
         } else if (!nobody) {
-            sheet.lines().forEach(out()::println);
+            List<String> lines = sheet.lines();
+            out().println(bridge().paint().head(lines.get(0)));
+            lines.subList(1, lines.size()).forEach(out()::println);
         }
         out().flush();
-        silent.forEach(s -> err().println("cypressweir: " + s.at() + ": " + s.why()));
+        silent.forEach(s -> err().println(bridge().paint().bad("cypressweir: " + s.complaint())));
         err().flush();
     }
 
-    private List<String> addresses() {
-        List<String> addresses = at.isEmpty() ? List.of(own()) : at;
-        for (String address : addresses) {
-            try {
-                Addresses.parse(address);
-            } catch (IllegalArgumentException e) {
-                throw wrong(e.getMessage());
-            }
+    private Bridge bridge() {
+        return (Bridge) spec.root().userObject();
+    }
+
+    private void checked(String address) {
+        try {
+            Addresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            throw wrong(e.getMessage());
         }
-        return addresses;
     }
 
     private String own() {
--- a/src/main/java/larkbank/bridge/TalliesCommand.java
+++ b/src/main/java/larkbank/bridge/TalliesCommand.java
@@ -12,6 +12,11 @@
                 + "there, with the tenant's rate and burst.")
 final class TalliesCommand extends Query {
 
+    @Override
+    boolean wide() {
+        return true;
+    }
+
     @Override
     List<String> columns() {
         return List.of("kind", "tenant", "asked", "rate", "burst");
--- a/src/main/java/larkbank/harbour/Harbour.java
+++ b/src/main/java/larkbank/harbour/Harbour.java
@@ -101,7 +101,7 @@
         wharf.listen(Addresses.parse(own), new Lines());
         Gangway.open(group, Addresses.parse(papers.listen().get("controlPlane")), () -> OPERATORS, clock,
                 new StateDesk(new OperatorDesk(() -> keeping, clock), items -> HarbourState.of(
-                        clock.getAsLong(), papers.name(), papers.control(), life, harbours(),
+                        clock.getAsLong(), papers.name(), papers.control(), own, life, harbours(),
                         keeping == null ? null : keeping.copies(), news, items)));
         LOG.info("Harbour " + papers.name() + " listens.");
         try {
--- a/src/main/java/larkbank/harbour/HarbourState.java
+++ b/src/main/java/larkbank/harbour/HarbourState.java
@@ -17,14 +17,15 @@
 
     /**
      * @param control where this harbour is asked
+     * @param address where it takes lines
      * @param harbours the others
      * @param copies null as long as the disk is not open
      */
-    static Map<String, Object> of(long now, String name, String control, long life, List<Object> harbours,
-            Copies copies, NewsDesk news, boolean items) {
+    static Map<String, Object> of(long now, String name, String control, String address, long life,
+            List<Object> harbours, Copies copies, NewsDesk news, boolean items) {
         Manifest manifest = news.editions().manifest();
         Map<String, Object> state = Scribe.map("kind", "harbour", "name", name, "control", control,
-                "life", life,
+                "address", address, "life", life,
                 "stamp", news.editions().stamp().toString(), "items", manifest.size(),
                 "open", copies != null);
         if (copies != null) {
--- a/src/main/java/larkbank/pilot/Pilot.java
+++ b/src/main/java/larkbank/pilot/Pilot.java
@@ -283,7 +283,7 @@
     }
 
     private Map<String, Object> state(boolean items) {
-        PilotState its = new PilotState(clock.getAsLong(), papers.name(), papers.control(), bearings);
+        PilotState its = new PilotState(clock.getAsLong(), papers.name(), papers.control(), own, bearings);
         its.harbours(lookout);
         its.pilots(roster);
         its.peers(peers, down);
--- a/src/main/java/larkbank/pilot/PilotState.java
+++ b/src/main/java/larkbank/pilot/PilotState.java
@@ -26,11 +26,11 @@
     private final Bearings bearings;
     private final Map<String, Object> state;
 
-    PilotState(long now, String name, String control, Bearings bearings) {
+    PilotState(long now, String name, String control, String address, Bearings bearings) {
         this.now = now;
         this.bearings = bearings;
         state = Scribe.map("kind", "pilot", "name", name, "control", control,
-                "stamp", bearings.stamp().toString(), "items", bearings.manifest().size());
+                "address", address, "stamp", bearings.stamp().toString(), "items", bearings.manifest().size());
     }
 
     void harbours(Lookout lookout) {
--- a/src/test/java/larkbank/bridge/QueryTest.java
+++ b/src/test/java/larkbank/bridge/QueryTest.java
@@ -4,13 +4,19 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.StringReader;
 import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -25,9 +31,12 @@
 import larkbank.logbook.StateDesk;
 import larkbank.manifest.Manifest;
 import larkbank.manifest.Order;
+import org.jline.terminal.Terminal;
+import org.jline.terminal.impl.ExternalTerminal;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Questions go over a socket to the state call and come back as tables. */
 class QueryTest {
@@ -36,6 +45,7 @@
     private static final MultiThreadIoEventLoopGroup GROUP =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private static String at;
+    private static String other;
     private static ServerSocket silent;
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
@@ -46,6 +56,9 @@
                 () -> new Bounds(16_384, 65_536, 5_000, 60_000), new Clock(),
                 new StateDesk(call -> call.answer(Answer.of(418)), QueryTest::state));
         at = Addresses.text(gangway.address());
+        other = Addresses.text(Gangway.open(GROUP, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> new Bounds(16_384, 65_536, 5_000, 60_000), new Clock(),
+                new StateDesk(call -> call.answer(Answer.of(418)), QueryTest::other)).address());
         silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
     }
 
@@ -55,6 +68,13 @@
         GROUP.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    private static Map<String, Object> other(boolean items) {
+        Map<String, Object> state = state(false);
+        state.putAll(Scribe.map("name", "h2", "control", "", "stamp", "2@h1", "crew", List.of("b", "a"),
+                "berths", List.of(Scribe.map("name", "p2", "server", "s2", "service", "s", "slots", 8))));
+        return state;
+    }
+
     private static Map<String, Object> state(boolean items) {
         Map<String, Object> state = Scribe.map("kind", "harbour", "name", "h1", "stamp", "3@h1", "open", true,
                 "crew", List.of("a", "b"), "tallies", Map.of("t", 2.5), "berths", List.of(
@@ -103,6 +123,41 @@
         assertThat(out.toString()).contains("r1").doesNotContain(SECRET);
     }
 
+    @Test
+    void whatTwoSeeDifferentlyIsTold() {
+        assertThat(ask("diff", at, other)).isEqualTo(5);
+        assertThat(out.toString().lines().map(line -> line.replaceAll(" {2,}", "|"))).containsExactly(
+                "what|a|b", "item routeTable.all|r7", "item routeTable.cart|r7", "item tenantTable.t|r1",
+                "pilot p1", "server s2|at p2, 4 slots|s at p2, 8 slots", "stamp|3@h1|2@h1");
+        assertThat(ask("diff", at, at)).isZero();
+    }
+
+    @Test
+    void linesOfAFileAreRunOneAfterAnother() throws IOException {
+        Shell shell = new Shell(List.of());
+        assertThat(shell.run(new BufferedReader(new StringReader("# whom\nat " + at + "\n\nat\n"
+                + "fleet --columns \"pilot,slots\" --timeout 30000\nroute other / --timeout 30000\n"
+                + "at here\npilot\nquit\nat")), new PrintWriter(out, true), new PrintWriter(err, true)))
+                .isEqualTo(4);
+        assertThat(out.toString()).startsWith(at).contains("p2         4").endsWith("-\n");
+        assertThat(err.toString().lines()).hasSize(2);
+    }
+
+    @Test
+    void atATerminalLinesAreCompletedAndKept(@TempDir Path folder) throws IOException {
+        Path history = folder.resolve("history");
+        String typed = "ref\t--he\t\rfleet --at " + at + " --timeout 30000 --columns sl\t\rexit\r";
+        ByteArrayOutputStream shown = new ByteArrayOutputStream();
+        try (Terminal terminal = new ExternalTerminal("test", "xterm",
+                new ByteArrayInputStream(typed.getBytes(StandardCharsets.UTF_8)), shown,
+                StandardCharsets.UTF_8)) {
+            Helmsman.run(new Shell(List.of()), terminal, history, new Paint(true));
+        }
+        assertThat(shown.toString(StandardCharsets.UTF_8)).contains("Answers of the mesh's own",
+                "\u001b[1mslots\u001b[0m");
+        assertThat(Files.readString(history)).contains("refusals --help", "--columns slots", "exit");
+    }
+
     @Test
     void whoDoesNotAnswerIsNamed() throws IOException {
         ServerSocket closed = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
--- a/src/test/java/larkbank/testkit/MeshRig.java
+++ b/src/test/java/larkbank/testkit/MeshRig.java
@@ -159,6 +159,16 @@
         signal(name, "-HUP");
     }
 
+    /** Stops it where it is: its addresses stay, and nothing comes from it any more. */
+    public void freeze(String name) throws IOException, InterruptedException {
+        signal(name, "-STOP");
+    }
+
+    /** Where a process is asked by operators. */
+    public String control(String name) {
+        return ips.get(name) + ":" + CONTROL;
+    }
+
     private void signal(String name, String which) throws IOException, InterruptedException {
         Process kill = new ProcessBuilder("kill", which, Long.toString(processes.get(name).pid())).start();
         if (kill.waitFor() != 0) {
