--- a/src/main/java/larkbank/pilot/Helm.java
+++ b/src/main/java/larkbank/pilot/Helm.java
@@ -29,6 +29,7 @@
 import larkbank.gangway.Answer;
 import larkbank.gangway.Headers;
 import larkbank.lading.Fault;
+import larkbank.logbook.Wake;
 import larkbank.quay.Account;
 import larkbank.quay.Freight;
 import larkbank.quay.Load;
@@ -114,12 +115,18 @@
         return open.size();
     }
 
+    /** Tells of requests with that id which are still in hand. */
+    void tell(String id, Wake to) {
+        open.values().stream().filter(p -> p.id.equals(id)).forEach(p -> p.tell(service, to));
+    }
+
     /** Refusals and failures of the mesh's own here, by kind. */
     Map<Fault, Long> counts() {
         return counts;
     }
 
-    private Answer own(Fault fault, long againMicros) {
+    private Answer own(Passage p, Fault fault, long againMicros) {
+        p.fault = fault;
         counts.merge(fault, 1L, Long::sum);
         return Answers.of(fault, againMicros);
     }
@@ -130,7 +137,7 @@
         open.put(passage.number, passage);
         passage.call.whenGone(() -> left(passage));
         if (!hasServers) {
-            passage.answer(own(Fault.NOT_READY, 200_000));
+            passage.answer(own(passage, Fault.NOT_READY, 200_000));
             forget(passage);
             return;
         }
@@ -185,8 +192,8 @@
 
     /** A passage is kept until the last of its attempts has ended. */
     private void forget(Passage p) {
-        if (p.account.isClosed() && !p.account.isOut()) {
-            open.remove(p.number);
+        if (p.account.isClosed() && !p.account.isOut() && open.remove(p.number) != null) {
+            p.ended(service);
         }
     }
 
@@ -246,6 +253,8 @@
             return;
         }
         long now = micros.getAsLong();
+        one.outcome = reply.outcome();
+        one.endedAt = now;
         Result result = result(reply.outcome());
         boolean served = result == Result.SERVED;
         Account.Due due = p.account.ended(index, reply.outcome());
@@ -270,9 +279,9 @@
             case THIS_ANSWER -> p.answer(answer(outcome));
             case KEEP -> p.kept = answer(outcome);
             case KEPT_ANSWER -> p.answer(p.kept);
-            case REFUSAL -> p.answer(own(Fault.NO_ROOM, againMicros));
-            case BROKEN -> p.answer(own(Fault.BROKEN, 0));
-            case TIMED_OUT -> p.answer(own(Fault.TIMED_OUT, 0));
+            case REFUSAL -> p.answer(own(p, Fault.NO_ROOM, againMicros));
+            case BROKEN -> p.answer(own(p, Fault.BROKEN, 0));
+            case TIMED_OUT -> p.answer(own(p, Fault.TIMED_OUT, 0));
         }
     }
 
