--- a/src/prove/java/larkbank/pilot/VoyagesTest.java
+++ b/src/prove/java/larkbank/pilot/VoyagesTest.java
@@ -31,13 +31,17 @@
                 + "~ if (!repeatable && promises(answer.status())) { ~ if (false) {",
         "REFUSED ~ all counts as repeatable ~ quay/Account.java ~ this.repeatable = repeatable; "
                 + "~ this.repeatable = true;",
-        "REFUSED ~ what is out has not run ~ quay/Known.java ~ return this == SENT || this == RAN ~ return this == RAN",
+        "REFUSED ~ what is out has not run ~ quay/Known.java ~ return this == SENT || this == RAN "
+                + "~ return this == RAN",
         "REFUSED ~ what may have run has not ~ quay/Known.java ~ ? RAN : MAY_HAVE_RUN ~ ? RAN : UNRUN",
-        "TWICE ~ a lost way says that nothing ran ~ quay/Known.java ~ this == SENT ? MAY_HAVE_RUN ~ this == SENT ? UNRUN",
-        "MIXED ~ ids are not compared ~ quay/Verdict.java ~ !ids.get(0).strip().equals(shipment.attemptId) ~ false",
+        "TWICE ~ a lost way says that nothing ran ~ quay/Known.java ~ this == SENT ? MAY_HAVE_RUN "
+                + "~ this == SENT ? UNRUN",
+        "MIXED ~ ids are not compared ~ quay/Verdict.java ~ !ids.get(0).strip().equals(shipment.attemptId) "
+                + "~ false",
         "MIXED ~ the seal is not asked for ~ quay/Verdict.java ~ && !answer.has(SEAL) ~ && false",
         "MIXED ~ an encoded body is taken ~ quay/Verdict.java ~ answer.has(\"Content-Encoding\") ~ false",
-        "TWICE ~ a contradiction is believed ~ quay/Verdict.java ~ if (notExecuted && status < 400) { ~ if (false) {",
+        "TWICE ~ a contradiction is believed ~ quay/Verdict.java ~ if (notExecuted && status < 400) { "
+                + "~ if (false) {",
         "TWICE ~ a bare 503 says not run ~ quay/Verdict.java ~ if (notExecuted || status == 421) "
                 + "~ if (notExecuted || status == 421 || status == 503)",
         "TWICE ~ a broken answer says not run ~ quay/Verdict.java ~ new Outcome.MayHaveRun(why) "
--- a/src/test/java/larkbank/pilot/HelmTest.java
+++ b/src/test/java/larkbank/pilot/HelmTest.java
@@ -164,7 +164,7 @@
         assertThat(client.status()).isEqualTo(status);
     }
 
-    /** Only with its mark does the server say that it did not run; clients would take the bare status for that. */
+    /** Only with its mark does the server say that it did not run; clients would believe the bare status. */
     @ParameterizedTest
     @ValueSource(ints = {408, 429, 503})
     void aPromiseThatTheServerDidNotMakeIsNotHandedOn(int status) {
--- a/src/test/java/larkbank/quay/AccountTableTest.java
+++ b/src/test/java/larkbank/quay/AccountTableTest.java
@@ -23,7 +23,9 @@
     private static final String END = "<!-- account: end -->\n";
     private static final int DEPTH = 6;
 
-    private enum Event { SENT, NOT_RUN, MAY_HAVE_RUN, ANSWERED, PROMISED, FAILED, LAST, DEADLINE, CLIENT_LEFT }
+    private enum Event {
+        SENT, NOT_RUN, MAY_HAVE_RUN, ANSWERED, PROMISED, FAILED, LAST, DEADLINE, CLIENT_LEFT
+    }
 
     private static final Map<Event, String> TITLES = new EnumMap<>(Map.of(Event.SENT, "an attempt goes",
             Event.NOT_RUN, "one has not run", Event.MAY_HAVE_RUN, "one may have run",
@@ -99,7 +101,8 @@
     private static String table(boolean repeatable) {
         Map<Account.State, Map<Event, Set<String>>> cells = new EnumMap<>(Account.State.class);
         explore(repeatable, new ArrayList<>(), cells);
-        StringBuilder table = new StringBuilder(repeatable ? "May be repeated:\n\n" : "Can't be repeated:\n\n");
+        StringBuilder table = new StringBuilder(repeatable ? "May be repeated:\n\n"
+                : "Can't be repeated:\n\n");
         table.append("| state |");
         for (Event event : Event.values()) {
             table.append(' ').append(TITLES.get(event)).append(" |");
@@ -149,7 +152,8 @@
             Map<Account.State, Map<Event, Set<String>>> cells = new EnumMap<>(Account.State.class);
             explore(repeatable, new ArrayList<>(), cells);
             assertThat(cells.keySet().stream().filter(s -> cells.get(s).values().stream()
-                    .anyMatch(c -> c.stream().anyMatch(t -> t.contains("refusal")))).collect(Collectors.toSet()))
+                    .anyMatch(c -> c.stream().anyMatch(t -> t.contains("refusal"))))
+                    .collect(Collectors.toSet()))
                     .containsExactly(Account.State.HELD);
             assertThat(cells.keySet().stream().filter(s -> cells.get(s).containsKey(Event.SENT)).toList())
                     .containsExactlyElementsOf(repeatable ? List.of(Account.State.HELD, Account.State.OUT,
