A harbour that starts with its clock set back is heard again

Cause: a life is numbered by the clock, and what a harbour tells was taken from the highest number alone. One that started with its clock set back was not believed until all others started anew: who had only it to learn from did not show what was agreed. Worse, what it had told before its disk was wiped went on counting as its vote.

Who asks to be taught has forgotten, and what it told in another life is dropped at once.

--- a/src/main/java/larkbank/copies/Copies.java
+++ b/src/main/java/larkbank/copies/Copies.java
@@ -261,6 +261,7 @@
     }
 
     private void teach(String from, long life) {
+        peers.forgotten(from, life);
         if (copy.knowing()) {
             shelf.keep(copy.state());
         }
--- a/src/main/java/larkbank/copies/Peers.java
+++ b/src/main/java/larkbank/copies/Peers.java
@@ -17,6 +17,7 @@
     private final Map<String, Long> heard = new HashMap<>();
     private final Map<String, Long> met = new HashMap<>();
     private final Map<String, Word> words = new HashMap<>();
+    private final Map<String, Long> toldAt = new HashMap<>();
 
     Peers(Desk desk) {
         this.desk = desk;
@@ -26,19 +27,31 @@
         heard.put(from, desk.now);
     }
 
-    /** Takes a word unless it is of an earlier life. */
+    /**
+     * Takes a word unless it is of an earlier life. Lives are told by clocks, and a clock may be set back: where
+     * the life with the higher number has ceased to tell, the other is the later one.
+     */
     boolean take(String from, Word word) {
         Word before = words.get(from);
-        if (before != null && before.life > word.life) {
+        if (before != null && before.life > word.life
+                && desk.now - toldAt.get(from) < desk.plan.liveWithin()) {
             return false;
         }
         if (before != null && before.life == word.life && before.accepted.above(word.accepted)) {
             return false;
         }
         words.put(from, word);
+        toldAt.put(from, desk.now);
         return true;
     }
 
+    /** A harbour has to learn, in that life: what it told in another no longer stands on its disk. */
+    void forgotten(String who, long life) {
+        if (words.containsKey(who) && words.get(who).life != life) {
+            words.remove(who);
+        }
+    }
+
     Word word(String of) {
         return words.get(of);
     }
@@ -94,6 +107,7 @@
         heard.entrySet().removeIf(e -> desk.now - e.getValue() > 20 * desk.plan.silentAfter()
                 && !crew.contains(e.getKey()));
         words.keySet().removeIf(who -> !heard.containsKey(who));
+        toldAt.keySet().retainAll(words.keySet());
         met.keySet().retainAll(crew);
     }
 }
--- a/src/test/java/larkbank/copies/CopiesTest.java
+++ b/src/test/java/larkbank/copies/CopiesTest.java
@@ -85,6 +85,25 @@
         assertThat(key(world.harbour(2).copies().shown().manifest(), "t")).isEqualTo(List.of("a"));
     }
 
+    @Test
+    void whoStartsWithAClockSetBackIsHeard() {
+        CopiesWorld world = new CopiesWorld(3, 3);
+        world.run(500_000);
+        world.crash(world.harbour(3));
+        world.behind = 1_000_000;
+        world.start(3);
+        world.run(1_500_000);
+        for (int other = 2; other <= 3; other++) {
+            world.cut(world.harbour(1).address(), world.harbour(other).address());
+            world.cut(world.harbour(other).address(), world.harbour(1).address());
+        }
+        taken(world, world.harbour(3), order("t", 1, "a"));
+        world.crash(world.harbour(2));
+        world.heal();
+        world.run(1_000_000);
+        assertThat(key(world.harbour(1).copies().shown().manifest(), "t")).isEqualTo(List.of("a"));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3})
     void outlastsOneDiskWhileOthersLosePower(int lost) {
--- a/src/test/java/larkbank/testkit/CopiesWorld.java
+++ b/src/test/java/larkbank/testkit/CopiesWorld.java
@@ -66,6 +66,8 @@
     private long number;
     private long tickets;
     private long lives;
+    /** How much the clocks of harbours that start from here on are behind. */
+    public long behind;
     public double loss;
     public double doubled;
     public long mostDelay = 2_000;
@@ -108,7 +110,7 @@
     /** A process starts, with what is on its disk. */
     public Harbour start(String address, boolean initial) {
         Harbour harbour = harbours.computeIfAbsent(address, Harbour::new);
-        harbour.life = ++lives;
+        harbour.life = ++lives - behind;
         harbour.initial = initial;
         harbour.copies = new Copies(CopiesPlan.usual(), address, seeds, initial, harbour.disk, harbour.life,
                 random.split(), now);
