--- a/src/bench/java/larkbank/copies/OneChangeBench.java
+++ b/src/bench/java/larkbank/copies/OneChangeBench.java
@@ -23,8 +23,8 @@
 
     private static String tenants(int from, int to, int version) {
         return "{\"upsert\":{\"tenantTable\":{" + IntStream.range(from, to).mapToObj(i -> "\"t" + i
-                + "\":{\"apiKeys\":[\"key-" + i + "-" + version + "\"],\"configVersion\":\"r" + version + "\"}")
-                .collect(Collectors.joining(",")) + "}}}";
+                + "\":{\"apiKeys\":[\"key-" + i + "-" + version + "\"],\"configVersion\":\"r" + version
+                + "\"}").collect(Collectors.joining(",")) + "}}}";
     }
 
     private static long size(Path folder) throws IOException {
--- a/src/prove/java/larkbank/prove/CopiesWalkTest.java
+++ b/src/prove/java/larkbank/prove/CopiesWalkTest.java
@@ -14,7 +14,7 @@
 class CopiesWalkTest {
 
     private static final int STRAYS = 2;
-    /** Of 39,135; all are walked by the main method in half a minute at most, and some of those with three. */
+    /** Of 39,135; the main method walks all in half a minute at most, and some of those with three. */
     private static final long SOME = 6_000;
 
     @TempDir
--- a/src/test/java/larkbank/hold/PlantedHoldFaultsTest.java
+++ b/src/test/java/larkbank/hold/PlantedHoldFaultsTest.java
@@ -17,21 +17,21 @@
 
     @ParameterizedTest(name = "{0}")
     @CsvSource(delimiter = '~', value = {
-        "items are not compared with their seal ~ Generation.java ~ if (found.sum() != sum) { ~ if (false) { "
-            + "~ aWriteThatPowerTookLeavesTheStateBeforeOrAfterIt",
+        "items are not compared ~ Generation.java ~ if (found.sum() != sum) { ~ if (false) {"
+            + " ~ aWriteThatPowerTookLeavesTheStateBeforeOrAfterIt",
         "a torn write is not cut off ~ XodusStore.java ~ Generation.cut(named); ~ ; "
             + "~ aWriteThatPowerTookLeavesTheStateBeforeOrAfterIt",
         "nobody knows how many writes there were ~ Witness.java ~ channel.write(ByteBuffer.wrap(digits), 0); "
             + "~ ; ~ whatWasAcknowledgedIsThereOrTheStoreSaysThatItHasForgotten",
-        "files that are gone are not missed ~ Generation.java ~ if (!now.containsAll(files)) { ~ if (false) { "
-            + "~ logsThatAreGoneTakeNoWrites",
+        "files that are gone are not missed ~ Generation.java ~ if (!now.containsAll(files)) { ~ if (false) {"
+            + " ~ logsThatAreGoneTakeNoWrites",
         "full files are mapped ~ Generation.java ~ config.setLogCacheUseNio(false); "
             + "~ config.setLogFileSize(1024); ~ noFileIsMappedAndAnEmptiedFolderTakesNoWrites",
     })
     void eachFaultIsFound(String fault, String file, String text, String instead, String test)
             throws Exception {
-        Class<?> planted = new Planted(folder.resolve("planted"), Path.of("src/main/java/larkbank/hold"), file,
-                text, instead, name -> name.startsWith("larkbank.hold.")).loadClass(
+        Class<?> planted = new Planted(folder.resolve("planted"), Path.of("src/main/java/larkbank/hold"),
+                file, text, instead, name -> name.startsWith("larkbank.hold.")).loadClass(
                 "larkbank.hold.TornFilesTest");
         Method broken = planted.getDeclaredMethod("broken", Path.class, String.class);
         broken.setAccessible(true);
--- a/src/test/java/larkbank/testkit/MeshRig.java
+++ b/src/test/java/larkbank/testkit/MeshRig.java
@@ -93,7 +93,7 @@
         }
     }
 
-    /** From here on a harbour that finds its disk empty has forgotten: the first start of the mesh is over. */
+    /** From here on a harbour that finds its disk empty has forgotten: the mesh has begun. */
     public void begun() throws IOException {
         initial = false;
         for (String harbour : harbours) {
