--- a/src/bench/java/larkbank/copies/OneChangeBench.java
+++ b/src/bench/java/larkbank/copies/OneChangeBench.java
@@ -39,9 +39,10 @@
 
     /** The folder to work in, and how many items. */
     public static void main(String[] args) throws IOException {
-        Path folder = Files.createTempDirectory(Path.of(args[0]), "one-change");
-        for (int a = 1; a < args.length; a++) {
-            int items = Integer.parseInt(args[a]);
+        String[] given = String.join(" ", args).split(" ");
+        Path folder = Files.createTempDirectory(Path.of(given[0]), "one-change");
+        for (int a = 1; a < given.length; a++) {
+            int items = Integer.parseInt(given[a]);
             List<Store> stores = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 stores.add(new XodusStore(folder.resolve(items + "-" + i)));
--- a/src/main/java/larkbank/copies/Peers.java
+++ b/src/main/java/larkbank/copies/Peers.java
@@ -28,8 +28,8 @@
     }
 
     /**
-     * Takes a word unless it is of an earlier life. Lives are told by clocks, and a clock may be set back: where
-     * the life with the higher number has ceased to tell, the other is the later one.
+     * Takes a word unless it is of an earlier life. Lives are told by clocks, and a clock may be set back:
+     * where the life with the higher number has ceased to tell, the other is the later one.
      */
     boolean take(String from, Word word) {
         Word before = words.get(from);
--- a/src/prove/java/larkbank/prove/CopiesWalk.java
+++ b/src/prove/java/larkbank/prove/CopiesWalk.java
@@ -368,7 +368,8 @@
     /** How often to stray, and how many ways at most. */
     public static void main(String[] args) {
         long begun = System.nanoTime();
-        Result r = walk(Integer.parseInt(args[0]), Long.parseLong(args[1]));
+        String[] given = String.join(" ", args).split(" ");
+        Result r = walk(Integer.parseInt(given[0]), Long.parseLong(given[1]));
         System.out.println(r + ", " + (System.nanoTime() - begun) / 1_000_000 + " ms");
     }
 }
