--- a/src/bench/java/larkbank/copies/OneChangeBench.java
+++ b/src/bench/java/larkbank/copies/OneChangeBench.java
@@ -23,8 +23,8 @@
 
     private static String tenants(int from, int to, int version) {
         return "{\"upsert\":{\"tenantTable\":{" + IntStream.range(from, to).mapToObj(i -> "\"t" + i
-                + "\":{\"apiKeys\":[\"key-" + i + "-" + version + "\"],\"configVersion\":\"r" + version + "\"}")
-                .collect(Collectors.joining(",")) + "}}}";
+                + "\":{\"apiKeys\":[\"key-" + i + "-" + version + "\"],\"configVersion\":\"r" + version
+                + "\"}").collect(Collectors.joining(",")) + "}}}";
     }
 
     private static long size(Path folder) throws IOException {
@@ -39,9 +39,10 @@
 
     /** The folder to work in, and how many items. */
     public static void main(String[] args) throws IOException {
-        Path folder = Files.createTempDirectory(Path.of(args[0]), "one-change");
-        for (int a = 1; a < args.length; a++) {
-            int items = Integer.parseInt(args[a]);
+        String[] given = String.join(" ", args).split(" ");
+        Path folder = Files.createTempDirectory(Path.of(given[0]), "one-change");
+        for (int a = 1; a < given.length; a++) {
+            int items = Integer.parseInt(given[a]);
             List<Store> stores = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 stores.add(new XodusStore(folder.resolve(items + "-" + i)));
