A harbour's witness that a loss of power has torn tells nothing

Cause: the witness of writes is not synced; with 99 overwritten by 100 and torn after the second digit that changed, it would have told 199, and a harbour whose disk is whole would have refused to start for ever. Ruled out: a sync for it (5 ms more an acknowledgement). Change: the number stands twice, halves that differ tell nothing.

--- a/src/main/java/larkbank/hold/Witness.java
+++ b/src/main/java/larkbank/hold/Witness.java
@@ -8,9 +8,9 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * A small file that tells how many writes had come back at least. It is not synced, and so costs nothing: a
- * loss of power may leave an older number, never a higher one. What stands at a lower number has lost writes
- * that were told to be there.
+ * A small file that tells, twice in a row, how many writes had come back at least. It is not synced, and so
+ * costs nothing: a loss of power may leave an older number or a torn one, which is known by its two halves,
+ * never a higher one. What stands at a lower number has lost writes that were told to be there.
  */
 final class Witness implements AutoCloseable {
 
@@ -22,11 +22,11 @@
     Witness(Path file) throws IOException {
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ,
                 StandardOpenOption.WRITE);
-        ByteBuffer bytes = ByteBuffer.allocate(DIGITS);
+        ByteBuffer bytes = ByteBuffer.allocate(2 * DIGITS);
         channel.read(bytes, 0);
         String text = new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1);
-        // One that can't be read tells nothing.
-        number = text.matches("\\d{" + DIGITS + "}") ? Long.parseLong(text) : 0;
+        // One that can't be read, or that a loss of power has torn, tells nothing.
+        number = text.matches("(\\d{" + DIGITS + "})\\1") ? Long.parseLong(text.substring(0, DIGITS)) : 0;
     }
 
     long number() {
@@ -35,8 +35,8 @@
 
     void saw(long written) throws IOException {
         number = written;
-        byte[] digits = String.format("%0" + DIGITS + "d", written).getBytes(StandardCharsets.ISO_8859_1);
-        channel.write(ByteBuffer.wrap(digits), 0);
+        String digits = String.format("%0" + DIGITS + "d", written);
+        channel.write(ByteBuffer.wrap((digits + digits).getBytes(StandardCharsets.ISO_8859_1)), 0);
     }
 
     @Override
--- a/src/test/java/larkbank/pilot/HopRig.java
+++ b/src/test/java/larkbank/pilot/HopRig.java
@@ -28,6 +28,7 @@
 import larkbank.lading.Moorings;
 import larkbank.lading.Scribe;
 import larkbank.lading.Wharf;
+import larkbank.logbook.Wake;
 import larkbank.manifest.RouteTerms;
 import larkbank.manifest.Split;
 import larkbank.quay.Life;
@@ -76,7 +77,8 @@
         Quay beyond = quay(to, "i1");
         Wharf wharf = new Wharf(group, HopRig::micros);
         far = wharf.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new Landing(
-                HopRig::micros, beyond, () -> new Berth("p1", 1, 1, "far", "z", "s", false, null)));
+                HopRig::micros, beyond, () -> new Berth("p1", 1, 1, "far", "", "z", "s", false,
+                        null)));
         moorings = new Moorings(wharf, HopRig::micros, new Moorings.Plan(3_000_000, 6_000_000, 12_000_000,
                 10_000, 10_000, 700), () -> Scribe.map("t", "hello"), new Ear());
         hops = new Hops(HopRig::micros, "own", near, moorings);
@@ -143,7 +145,8 @@
         long at = micros();
         String id = call.header(ID);
         helm.take(new Passage(Long.toString(++numbers), call, id == null ? "none" : id, route, null, 1, true,
-                at, at + 2_000_000, at + 4_000_000, call.headers()));
+                at, at + 2_000_000, at + 4_000_000, call.headers(),
+                    new Wake(HopRig::micros, 4)));
     }
 
     /** From now on the first to come is broken there; what can't be repeated goes over the hop. */
