--- a/src/main/java/larkbank/bridge/Bridge.java
+++ b/src/main/java/larkbank/bridge/Bridge.java
@@ -20,7 +20,8 @@
         subcommands = {ServeCommand.PilotCommand.class, ServeCommand.HarbourCommand.class, CheckCommand.class,
             ShellCommand.class, FleetCommand.class, ItemsCommand.class, RouteCommand.class,
             CopiesCommand.class, ShownCommand.class, SightsCommand.class, TalliesCommand.class,
-            RefusalsCommand.class, WhyCommand.class, DiffCommand.class, StateCommand.class, HelpCommand.class})
+            RefusalsCommand.class, WhyCommand.class, DiffCommand.class, StateCommand.class,
+            HelpCommand.class})
 final class Bridge implements Runnable {
 
     static final int DONE = 0;
--- a/src/main/java/larkbank/harbour/HarbourState.java
+++ b/src/main/java/larkbank/harbour/HarbourState.java
@@ -51,7 +51,8 @@
 
     private static Map<String, Object> line(Berth berth, long silence) {
         Ship ship = berth.ship();
-        return Scribe.map("name", berth.name(), "address", berth.address(), "control", berth.control(), "zone", berth.zone(),
+        return Scribe.map("name", berth.name(), "address", berth.address(), "control",
+                berth.control(), "zone", berth.zone(),
                 "service", ship == null ? berth.service() : ship.service(),
                 "server", ship == null ? null : ship.id(), "slots", ship == null ? null : ship.slots(),
                 "draining", ship != null && ship.draining(), "leaving", berth.leaving(),
--- a/src/main/java/larkbank/pilot/PilotState.java
+++ b/src/main/java/larkbank/pilot/PilotState.java
@@ -30,7 +30,8 @@
         this.now = now;
         this.bearings = bearings;
         state = Scribe.map("kind", "pilot", "name", name, "control", control,
-                "address", address, "stamp", bearings.stamp().toString(), "items", bearings.manifest().size());
+                "address", address, "stamp", bearings.stamp().toString(),
+                "items", bearings.manifest().size());
     }
 
     void harbours(Lookout lookout) {
--- a/src/main/java/larkbank/pilot/ShipDesk.java
+++ b/src/main/java/larkbank/pilot/ShipDesk.java
@@ -58,8 +58,8 @@
 
     /** What this pilot tells of itself. */
     Berth berth() {
-        return new Berth(papers.name(), life, number, papers.lines(papers.ip()), papers.control(), papers.zone(),
-                papers.service() == null ? "" : papers.service(), leaving, ship);
+        return new Berth(papers.name(), life, number, papers.lines(papers.ip()), papers.control(),
+                papers.zone(), papers.service() == null ? "" : papers.service(), leaving, ship);
     }
 
     Ship ship() {
--- a/src/test/java/larkbank/pilot/HelmTest.java
+++ b/src/test/java/larkbank/pilot/HelmTest.java
@@ -105,7 +105,8 @@
         assertThat(told).contains("route=r", "service=s", "tenant=t", "answer=201", "sentMs=0.0, tookMs=2.0, "
                 + "outcome=not run: full", "outcome=answered", "server=" + hull.sent.get(1).target.instance())
                 .doesNotContain("fault");
-        assertThat(told.indexOf(hull.sent.get(0).target.pilot())).isLessThan(told.indexOf("outcome=answered"));
+        assertThat(told.indexOf(hull.sent.get(0).target.pilot()))
+                .isLessThan(told.indexOf("outcome=answered"));
         hull.ask(false);
         hull.sent.get(2).ends(LOST);
         hull.advance(0);
