--- a/src/main/java/larkbank/tally/Demands.java
+++ b/src/main/java/larkbank/tally/Demands.java
@@ -70,7 +70,7 @@
         return sums;
     }
 
-    /** Those sums that have changed since they were told, all of them if asked for; nought for who asks no more. */
+    /** Those sums that have changed since they were told, or all of them; nought for who asks no more. */
     public Map<String, Double> news(long now, boolean all) {
         Map<String, Double> sums = sums(now);
         Map<String, Double> news = new TreeMap<>();
--- a/src/main/java/larkbank/tally/Quotas.java
+++ b/src/main/java/larkbank/tally/Quotas.java
@@ -23,7 +23,7 @@
     private static final long STALE = 3_000_000;
     private static final long FORGOTTEN = 8_000_000;
 
-    /** What is asked is told again once it has changed by this part of it, or of what each pilot has of the rate. */
+    /** What is asked is told again once it has changed by this part of it, or of a pilot's part of the rate. */
     private static final double NOTED_PART = 0.15;
     private static final double NOTED_SHARE = 0.2;
 
@@ -52,7 +52,7 @@
         pilots = Math.max(1, count);
     }
 
-    /** A harbour's sums of what tenants ask in all, those that have changed; the largest of all harbours' counts. */
+    /** A harbour's sums of what tenants ask in all, those that have changed; the largest of harbours counts. */
     public void told(long now, String harbour, Map<?, ?> asked) {
         Map<String, Double> its = sums.computeIfAbsent(harbour, h -> new HashMap<>());
         newsAt = now;
@@ -118,7 +118,7 @@
         if (account.filledAt < 0) {
             account.level = scarce ? its : Math.max(1, its);
         } else {
-            // What nobody used until now is together more than the burst: each has its part of it from now on.
+            // What nobody used until now is together more than the burst: each has its part from now on.
             double from = scarce && !account.scarce ? Math.min(account.level, its) : account.level;
             account.level = Math.min(Math.max(1, its), from + fill * (now - account.filledAt) / 1e6);
         }
