--- a/src/main/java/larkbank/tally/Quotas.java
+++ b/src/main/java/larkbank/tally/Quotas.java
@@ -23,7 +23,7 @@
     private static final long STALE = 3_000_000;
     private static final long FORGOTTEN = 8_000_000;
 
-    /** What is asked is told again once it has changed by this part of it, or of a pilot's part of the rate. */
+    /** What is asked is told again once it has changed by this part of it, or of a pilot's part. */
     private static final double NOTED_PART = 0.15;
     private static final double NOTED_SHARE = 0.2;
 
@@ -52,7 +52,7 @@
         pilots = Math.max(1, count);
     }
 
-    /** A harbour's sums of what tenants ask in all, those that have changed; the largest of harbours counts. */
+    /** A harbour's sums of what tenants ask in all, as far as they changed; the largest counts. */
     public void told(long now, String harbour, Map<?, ?> asked) {
         Map<String, Double> its = sums.computeIfAbsent(harbour, h -> new HashMap<>());
         newsAt = now;
