The witness's write stands as the planted fault names it

Cause: PlantedHoldFaultsTest plants its fault by the text of a line that the last change had rewritten.

--- a/src/main/java/larkbank/hold/Witness.java
+++ b/src/main/java/larkbank/hold/Witness.java
@@ -35,8 +35,9 @@
 
     void saw(long written) throws IOException {
         number = written;
-        String digits = String.format("%0" + DIGITS + "d", written);
-        channel.write(ByteBuffer.wrap((digits + digits).getBytes(StandardCharsets.ISO_8859_1)), 0);
+        String once = String.format("%0" + DIGITS + "d", written);
+        byte[] digits = (once + once).getBytes(StandardCharsets.ISO_8859_1);
+        channel.write(ByteBuffer.wrap(digits), 0);
     }
 
     @Override
