One walk over the lines to harbours, and one place that says when a tenant's rate is scarce

Lookout walked all lines with the same check in two places; Quotas worked out twice whether a tenant comes near its rate, once to fill a bucket and once for the part. Ruled out: one rounding for Quotas and Demands (a line each); one set-up for QuayTest and AnswersTest; both left. Change: eachLine, isScarceNow; no bound, check or expectation moves.

--- a/src/main/java/larkbank/pilot/Lookout.java
+++ b/src/main/java/larkbank/pilot/Lookout.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import larkbank.Json;
@@ -85,10 +86,14 @@
 
     /** Tells all harbours what has changed here. */
     void tell() {
+        eachLine(this::tell);
+    }
+
+    private void eachLine(Consumer<Line> what) {
         for (String address : moorings.addresses()) {
             Line line = moorings.line(address);
             if (line != null) {
-                tell(line);
+                what.accept(line);
             }
         }
     }
@@ -103,12 +108,7 @@
         Map<String, Double> asked = quotas.news(micros.getAsLong(), all);
         if (!asked.isEmpty()) {
             byte[] told = Scribe.bytes(Scribe.map("t", "tally", "asked", asked, "whole", all));
-            moorings.addresses().forEach(address -> {
-                Line line = moorings.line(address);
-                if (line != null) {
-                    line.sendText(told);
-                }
-            });
+            eachLine(line -> line.sendText(told));
         }
         chooseTeller();
     }
--- a/src/main/java/larkbank/tally/Quotas.java
+++ b/src/main/java/larkbank/tally/Quotas.java
@@ -40,6 +40,10 @@
         private double ownThen;
         /** All together ask for about as much as there is, or more. */
         private boolean scarce;
+
+        private boolean isScarceNow() {
+            return all > SCARCE * rate;
+        }
     }
 
     private final Map<String, Account> accounts = new HashMap<>();
@@ -110,11 +114,11 @@
     private double refill(long now, Account account) {
         double rate = account.rate;
         double own = asked(account, now) / SPAN * 1e6;
-        double part = part(now, account, own, rate);
+        double part = part(now, account, own);
         double fill = Math.max(part * rate, Math.min(rate - OTHERS * Math.max(0, account.all - own),
                 SPARE * part * rate + 1));
         double its = part * account.burst * BURST;
-        boolean scarce = account.all > SCARCE * rate;
+        boolean scarce = account.isScarceNow();
         if (account.filledAt < 0) {
             account.level = scarce ? its : Math.max(1, its);
         } else {
@@ -127,13 +131,13 @@
         return fill;
     }
 
-    private double part(long now, Account account, double own, double rate) {
+    private double part(long now, Account account, double own) {
         double fair = 1.0 / pilots;
         if (newsAt == 0) {
             return fair / 2;
         }
         // Where more is asked than there is, parts have to be of one time, or they are more than all.
-        boolean scarce = account.all > SCARCE * rate;
+        boolean scarce = account.isScarceNow();
         double its = scarce ? account.ownThen : Math.min(own, 1.25 * account.ownThen + 2);
         double part = account.all <= 0 ? fair : Math.min(1, Math.max(its / Math.max(its, account.all),
                 fair / (scarce ? 16 : 4)));
