Voters are never fewer than twice the disks that may be lost

Cause: with five voters and two of them unresponsive (partitioned, say) and no standby waiting, the planner removed both. Three voters commit on two disks, so the loss of two disks, which five core machines must survive, could take all copies of an acknowledged change, or leave one voter of three for ever. Found by reading, then by a new randomized scenario: partitions into halves, and within them or soon after as many disks lost as may be while all others lose power.

Change: below the wanted number of voters one is added and none removed; at it, one is removed only where a standby waits. A majority of 2f voters is f + 1 disks.

--- a/src/main/java/org/cypressweir/controlplane/consensus/VoterChangePlanner.java
+++ b/src/main/java/org/cypressweir/controlplane/consensus/VoterChangePlanner.java
@@ -11,7 +11,9 @@
 /**
  * Plans changes of the voters: one removed, or one added, never both at once, so that any majority of the
  * voters before shares a replica with any after (single-server changes, Ongaro 2014, chapter 4). A voter that
- * is gone is removed before another is added: there are never more voters than wanted.
+ * is gone is removed before another is added: there are never more voters than wanted. The next one is removed
+ * only after that: removals never leave more than one voter fewer than wanted. A majority of 2f voters is f + 1
+ * disks, so what is committed survives the loss of any f disks, also while voters are replaced.
  */
 final class VoterChangePlanner {
 
@@ -106,12 +108,13 @@
             return voters;
         }
         Optional<String> standby = standby(voters);
-        String removed = monitor.toRemove(voters, standby.isPresent());
-        if (removed != null) {
-            return voters.stream().filter(voter -> !voter.equals(removed)).toList();
+        if (voters.size() < targetVoterCount) {
+            return Stream.concat(voters.stream(), standby.stream()).sorted().toList();
         }
-        return standby.isPresent() && voters.size() < targetVoterCount
-                ? Stream.concat(voters.stream(), standby.stream()).sorted().toList()
-                : voters;
+        boolean hasSuccessor = standby.isPresent() || voters.size() > targetVoterCount;
+        String removed = monitor.toRemove(voters, hasSuccessor);
+        return removed == null
+                ? voters
+                : voters.stream().filter(voter -> !voter.equals(removed)).toList();
     }
 }
--- a/src/main/java/org/cypressweir/controlplane/consensus/VoterMonitor.java
+++ b/src/main/java/org/cypressweir/controlplane/consensus/VoterMonitor.java
@@ -6,9 +6,6 @@
 /** Tells which voters respond, and which one should be removed. */
 final class VoterMonitor {
 
-    /** From here on the voters are better off without an unresponsive one, also where no standby waits. */
-    private static final int MIN_VOTERS_TO_SHRINK = 4;
-
     private final ReplicaContext context;
     private final PeerTable peers;
 
@@ -34,21 +31,23 @@
 
     /**
      * Which voter should be removed next, or null. One whose address is in use by another disk is removed at
-     * once. One that shuts down or is unresponsive is removed where a standby waits; without one, an
-     * unresponsive voter is removed from an even number of voters, or if there are several.
+     * once. One that is unresponsive or shuts down is removed only where another takes its place: with fewer
+     * voters a majority would be fewer disks, and a commit would no longer survive the loss of as many as may
+     * be lost.
+     *
+     * @param hasSuccessor whether a standby waits, or there are more voters than wanted
      */
-    String toRemove(List<String> voters, boolean hasStandby) {
+    String toRemove(List<String> voters, boolean hasSuccessor) {
         for (String voter : voters) {
             if (peers.replaced(voter)) {
                 return voter;
             }
         }
-        List<String> unresponsive = unresponsive(voters);
-        boolean shrinks = voters.size() >= MIN_VOTERS_TO_SHRINK && (voters.size() % 2 == 0 || unresponsive.size() > 1);
-        if (!unresponsive.isEmpty() && (hasStandby || shrinks)) {
-            return unresponsive.get(0);
+        if (!hasSuccessor) {
+            return null;
         }
-        return hasStandby ? firstLeaving(voters) : null;
+        List<String> unresponsive = unresponsive(voters);
+        return unresponsive.isEmpty() ? firstLeaving(voters) : unresponsive.get(0);
     }
 
     private List<String> unresponsive(List<String> voters) {
--- a/src/test/java/org/cypressweir/controlplane/consensus/PlantedConsensusFaultsTest.java
+++ b/src/test/java/org/cypressweir/controlplane/consensus/PlantedConsensusFaultsTest.java
@@ -14,6 +14,7 @@
 
     private static final int DAYS = 200;
     private static final int LOSSES = 40;
+    private static final int OVERLAPS = 40;
 
     @TempDir
     Path folder;
@@ -28,6 +29,7 @@
                 name -> name.startsWith("org.cypressweir.testkit.Consensus")
                         || name.startsWith("org.cypressweir.testkit.SimulatedReplicas")
                         || name.startsWith("org.cypressweir.testkit.MachineLosses")
+                        || name.startsWith("org.cypressweir.testkit.OverlappingLosses")
                         || name.startsWith("org.cypressweir.testkit.JsonCopy"));
     }
 
@@ -37,19 +39,19 @@
             delimiter = '~',
             value = {
                 "nobody is removed while two are unresponsive ~ VoterMonitor.java "
-                        + "~ if (!unresponsive.isEmpty() && (hasStandby || shrinks)) { "
-                        + "~ if (unresponsive.size() == 1 && (hasStandby || shrinks)) {",
+                        + "~ return unresponsive.isEmpty() ? firstLeaving(voters) : unresponsive.get(0); "
+                        + "~ return unresponsive.isEmpty() ? firstLeaving(voters) "
+                        + ": unresponsive.size() > 1 ? null : unresponsive.get(0);",
                 "an unresponsive voter stays ~ VoterMonitor.java "
                         + "~ peers.silenceMicros(voter) >= limitMicros).toList(); "
                         + "~ false).toList();",
                 "a lost disk stays until it has been unresponsive ~ VoterMonitor.java ~ if (peers.replaced(voter)) { "
                         + "~ if (false) {",
                 "a standby is not added ~ VoterChangePlanner.java "
-                        + "~ return standby.isPresent() && voters.size() < targetVoterCount "
-                        + "~ return false",
+                        + "~ if (voters.size() < targetVoterCount) { ~ if (voters.isEmpty()) {",
                 "one is added while one is removed ~ VoterChangePlanner.java "
-                        + "~ return voters.stream().filter(voter -> !voter.equals(removed)).toList(); "
-                        + "~ return Stream.concat(voters.stream().filter(voter -> !voter.equals(removed)), "
+                        + "~ : voters.stream().filter(voter -> !voter.equals(removed)).toList(); "
+                        + "~ : Stream.concat(voters.stream().filter(voter -> !voter.equals(removed)), "
                         + "standby.stream())"
                         + ".sorted().toList();",
             })
@@ -60,6 +62,27 @@
         assertThat(losses.invoke(null, LOSSES)).as(fault).isNotNull();
     }
 
+    /** Faults by which a commit is on fewer disks than may be lost, and one more. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+            delimiter = '~',
+            value = {
+                "unresponsive voters are removed without a successor ~ VoterChangePlanner.java "
+                        + "~ if (voters.size() < targetVoterCount) { ~ if (voters.size() < 3) {",
+                "the next voter is removed before another is added ~ VoterChangePlanner.java "
+                        + "~ if (voters.size() < targetVoterCount) { ~ if (voters.size() < targetVoterCount - 1) {",
+                "a majority of the next voters is enough ~ AcceptPhase.java "
+                        + "~ if (ReplicatedState.isMajority(base.voters(), accepters) "
+                        + "&& ReplicatedState.isMajority(next.voters(), accepters)) { "
+                        + "~ if (accepters.size() > 1) {",
+            })
+    void findsPlantedFaultOfDurability(String fault, String file, String text, String instead) throws Exception {
+        Method losses = planted(file, text, instead)
+                .loadClass("org.cypressweir.testkit.OverlappingLosses")
+                .getMethod("findViolation", int.class);
+        assertThat(losses.invoke(null, OVERLAPS)).as(fault).isNotNull();
+    }
+
     @ParameterizedTest(name = "{0}")
     @CsvSource(
             delimiter = '~',
--- /dev/null
+++ b/src/test/java/org/cypressweir/testkit/OverlappingLosses.java
@@ -0,0 +1,134 @@
+package org.cypressweir.testkit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.cypressweir.controlplane.consensus.ProposalResult;
+import org.cypressweir.testkit.SimulatedReplicas.Replica;
+
+/**
+ * Random scenarios in which losses overlap: the replicas are partitioned into two sides while changes are submitted to
+ * both, and within the partition or soon after it as many disks as may be lost are lost at once, while all other
+ * replicas lose power. Whatever was acknowledged must be there once all replicas are back.
+ */
+public final class OverlappingLosses {
+
+    private static final long STEP_MICROS = 20_000;
+    private static final long CHANGE_INTERVAL_MICROS = 60_000;
+    private static final long TIMEOUT_MICROS = 1_000_000;
+    private static final long START_MICROS = 3_000_000;
+    /** Longer than it takes until an unresponsive voter may be replaced. */
+    private static final long MAX_PARTITION_MICROS = 7_000_000;
+
+    private static final long MAX_MICROS_AFTER_PARTITION = 1_500_000;
+    private static final long RECOVERY_MICROS = 15_000_000;
+
+    private final SplittableRandom random;
+    private final SimulatedReplicas world;
+    private final int maxLostDisks;
+    private long changes;
+    private long nextChangeAt;
+
+    /**
+     * @param voters how many voters there are: twice as many disks as may be lost, and one
+     * @param standbys how many more replicas wait to be admitted as voters
+     */
+    public OverlappingLosses(long seed, int voters, int standbys) {
+        random = new SplittableRandom(seed * 37 + 10L * voters + standbys);
+        maxLostDisks = (voters - 1) / 2;
+        world = new SimulatedReplicas(seed, voters);
+        world.maxDelayMicros = 1 + random.nextLong(10_000);
+        world.maxWriteMicros = 1 + random.nextLong(10_000);
+        for (int i = 1; i <= standbys; i++) {
+            world.start(voters + i);
+        }
+        run(START_MICROS);
+    }
+
+    /** The first violation in so many scenarios of each size, or null. */
+    public static String findViolation(int scenarios) {
+        for (long seed = 0; seed < scenarios; seed++) {
+            for (int[] size : new int[][] {{5, 0}, {5, 1}, {3, 0}}) {
+                String violation = new OverlappingLosses(seed, size[0], size[1]).run();
+                if (violation != null) {
+                    return "seed " + seed + " with " + size[0] + " voters: " + violation;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** How many changes were acknowledged. */
+    public int acknowledged() {
+        return world.checks().accepted();
+    }
+
+    /** Runs the scenario; returns the first violation, or null. */
+    public String run() {
+        partition();
+        long partitionMicros = random.nextLong(MAX_PARTITION_MICROS);
+        run(partitionMicros);
+        if (random.nextBoolean()) {
+            world.heal();
+            run(random.nextLong(MAX_MICROS_AFTER_PARTITION));
+        }
+        loseDisksAndPower();
+        world.heal();
+        world.run(RECOVERY_MICROS);
+        return isReadAnswered() ? world.checks().breach() : "no read after all replicas are back";
+    }
+
+    /** Whether a read is answered anywhere: a standby may not answer one. */
+    private boolean isReadAnswered() {
+        return world.runningReplicas().stream()
+                .anyMatch(replica -> world.await(world.read(replica, TIMEOUT_MICROS)) instanceof ProposalResult.Read);
+    }
+
+    /** Separates some of the replicas, as many as may be lost or up to half of them, from the others. */
+    private void partition() {
+        List<Replica> all = shuffled();
+        int separated = 1 + random.nextInt(all.size() / 2);
+        for (Replica one : all.subList(0, separated)) {
+            for (Replica other : all.subList(separated, all.size())) {
+                world.block(one.address(), other.address());
+                world.block(other.address(), one.address());
+            }
+        }
+    }
+
+    private void loseDisksAndPower() {
+        List<Replica> all = shuffled();
+        all.subList(0, maxLostDisks).forEach(world::wipe);
+        all.subList(maxLostDisks, all.size()).forEach(world::crash);
+        all.forEach(replica -> world.start(replica.address(), false));
+    }
+
+    private List<Replica> shuffled() {
+        List<Replica> from = new ArrayList<>(world.runningReplicas());
+        List<Replica> shuffled = new ArrayList<>();
+        while (!from.isEmpty()) {
+            shuffled.add(from.remove(random.nextInt(from.size())));
+        }
+        return shuffled;
+    }
+
+    private Replica anyRunning() {
+        List<Replica> running = world.runningReplicas();
+        return running.get(random.nextInt(running.size()));
+    }
+
+    private void run(long micros) {
+        for (long until = world.now() + micros; world.now() < until; ) {
+            if (world.now() >= nextChangeAt) {
+                nextChangeAt = world.now() + CHANGE_INTERVAL_MICROS;
+                world.submit(anyRunning(), nextChange(), TIMEOUT_MICROS);
+            }
+            world.run(STEP_MICROS);
+        }
+    }
+
+    private String nextChange() {
+        return "{\"upsert\":{\"tenantTable\":{\"t" + changes % 5 + "\":{\"apiKeys\":[\"k" + changes
+                + "\"],\"configVersion\":\"r" + ++changes + "\"}}}}";
+    }
+}
