A controller that comes back sends each proxy the endpoints once, and many changes together

Cause: a controller that returned to several hundred proxies never settled. Each proxy that registered made one message to each other proxy, encoded anew for each; a new connection got the full list twice, on its registration and on its subscription; each message of a proxy went through all registrations; and a controller that had not run itself took the time for its proxies' silence and expired them, which made two more changes each.

Change: the first endpoint change is sent at once, those that follow within the same tick (50 ms) go together; an update is encoded once for all proxies with the same offset; nothing is sent before a proxy has subscribed (all builds do, right after their registration); silence counts from when the controller last ran without a pause; registrations are found by their connection.

--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -1,7 +1,7 @@
 package org.cypressweir.controlplane.controller;
 
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +31,8 @@
     private static final long REGISTRATION_GRACE_MICROS = 300_000;
 
     private static final long SILENT_AFTER_MICROS = 2_000_000;
+    /** A longer time between two ticks says that this controller was late itself, and read nothing meanwhile. */
+    private static final long MAX_TICK_INTERVAL_MICROS = 500_000;
     /** After so long without a majority, the proxies are notified. */
     private static final long QUORUM_CONTACT_TIMEOUT_MICROS = 2_000_000;
     /** Every so many publications hold all demand; those in between only what has changed. */
@@ -39,6 +41,8 @@
     /** The state of one connected proxy. */
     private static final class Subscriber {
         private final String name;
+        /** Whether it has said from where on it wants endpoint changes. */
+        private boolean endpointsSubscribed;
         /** In the log of endpoint changes, up to which the proxy has been updated; below 0: it needs a snapshot. */
         private long offset = -1;
 
@@ -61,6 +65,11 @@
     private List<String> voterAddresses = List.of();
     private long demandPublications;
     private boolean inQuorumContact;
+    private long lastTickAt;
+    /** Since when this controller has read without a longer pause of its own: silence before says nothing. */
+    private long attentiveSince;
+    /** Whether endpoint changes were published since the last tick; those that follow wait for the next one. */
+    private boolean publishedSinceTick;
 
     /**
      * @param clock in microseconds
@@ -72,6 +81,8 @@
         this.incarnation = incarnation;
         this.controlAddress = controlAddress;
         this.confirmedAge = confirmedAge;
+        lastTickAt = clock.getAsLong();
+        attentiveSince = lastTickAt;
     }
 
     ProxyRegistry registry() {
@@ -125,8 +136,9 @@
         } else if (message instanceof ProxyMessage.ContactQuery query) {
             connection.send(contact(query.askedAt()));
         } else if (message instanceof ProxyMessage.EndpointSubscription subscription) {
+            subscriber.endpointsSubscribed = true;
             subscriber.offset = subscription.incarnation() == incarnation ? subscription.offset() : -1;
-            publishEndpoints(connection, subscriber);
+            publishEndpoints(connection, subscriber, new HashMap<>());
         } else if (message instanceof ProxyMessage.ConfigurationRequest request) {
             sendConfiguration(connection, request.version());
         } else if (message instanceof ProxyMessage.DemandSubscription subscription) {
@@ -137,7 +149,10 @@
     private void register(PeerConnection connection, ProxyRegistration registration) {
         if (registration != null && registry.register(connection, registration)) {
             endpointLog.append(registration.name());
-            publishEndpoints();
+            // The first change is sent at once; the others of many at a time go together.
+            if (!publishedSinceTick) {
+                publishEndpoints();
+            }
         }
     }
 
@@ -172,8 +187,15 @@
 
     /** To be called several times a second. */
     void tick() {
+        long now = clock.getAsLong();
+        if (now - lastTickAt > MAX_TICK_INTERVAL_MICROS) {
+            attentiveSince = now;
+        }
+        lastTickAt = now;
         checkQuorumContact();
-        expireProxies();
+        expireProxies(now);
+        publishEndpoints();
+        publishedSinceTick = false;
     }
 
     private void checkQuorumContact() {
@@ -187,21 +209,16 @@
         }
     }
 
-    private void expireProxies() {
-        long now = clock.getAsLong();
+    private void expireProxies(long now) {
         for (PeerConnection connection : subscribers.keySet()) {
-            if (now - connection.lastReceivedMicros() > SILENT_AFTER_MICROS) {
+            if (now - Math.max(connection.lastReceivedMicros(), attentiveSince) > SILENT_AFTER_MICROS) {
                 registry.connectionLost(now, connection);
             }
         }
-        List<String> expired = registry.expire(now);
-        for (String name : expired) {
+        for (String name : registry.expire(now)) {
             LOG.info("proxy expired name=" + name);
             endpointLog.append(name);
         }
-        if (!expired.isEmpty()) {
-            publishEndpoints();
-        }
     }
 
     /** Publishes the demand totals that have changed; to be called a few times a second. */
@@ -220,23 +237,28 @@
         });
     }
 
+    /** Brings all proxies up to date; an update is encoded once for all that have the same offset. */
     private void publishEndpoints() {
-        subscribers.forEach(this::publishEndpoints);
+        Map<Long, byte[]> updatesByOffset = new HashMap<>();
+        subscribers.forEach((connection, subscriber) -> publishEndpoints(connection, subscriber, updatesByOffset));
+        publishedSinceTick |= !updatesByOffset.isEmpty();
     }
 
-    /** Sends a proxy the endpoints that have changed since its offset, or a snapshot. */
-    private void publishEndpoints(PeerConnection connection, Subscriber subscriber) {
-        Set<String> changed = subscriber.offset < 0 ? null : endpointLog.changedSince(subscriber.offset);
-        boolean snapshot = changed == null;
-        if (!snapshot && changed.isEmpty()) {
-            return;
+    /** Sends a proxy the endpoints that have changed since its offset, or a snapshot, if it has subscribed to them. */
+    private void publishEndpoints(PeerConnection connection, Subscriber subscriber, Map<Long, byte[]> updatesByOffset) {
+        if (subscriber.endpointsSubscribed && subscriber.offset != endpointLog.endOffset()) {
+            connection.sendEncoded(updatesByOffset.computeIfAbsent(subscriber.offset, this::endpointUpdate));
+            subscriber.offset = endpointLog.endOffset();
         }
+    }
+
+    private byte[] endpointUpdate(long offset) {
+        Set<String> changed = offset < 0 ? null : endpointLog.changedSince(offset);
+        boolean isSnapshot = changed == null;
         long now = clock.getAsLong();
-        Collection<String> names =
-                snapshot ? registry.all().stream().map(ProxyRegistration::name).toList() : changed;
         List<Object> registrations = new ArrayList<>();
         List<Object> removed = new ArrayList<>();
-        for (String name : names) {
+        for (String name : isSnapshot ? registry.names() : changed) {
             ProxyRegistration registration = registry.get(name);
             if (registration == null) {
                 removed.add(name);
@@ -244,9 +266,8 @@
                 registrations.add(registration.toMap(now));
             }
         }
-        subscriber.offset = endpointLog.endOffset();
-        connection.send(
-                ControllerMessages.endpointUpdate(incarnation, subscriber.offset, snapshot, registrations, removed));
+        return JsonCodec.bytes(ControllerMessages.endpointUpdate(
+                incarnation, endpointLog.endOffset(), isSnapshot, registrations, removed));
     }
 
     /** Sends a proxy what it needs to get from its version to the newest. */
--- a/src/main/java/org/cypressweir/controlplane/registry/ProxyRegistry.java
+++ b/src/main/java/org/cypressweir/controlplane/registry/ProxyRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,9 @@
 
     private final long graceMicros;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    /** The same entries by their connection: each message of a proxy asks for them. */
+    private final Map<Object, List<Entry>> entriesByConnection = new IdentityHashMap<>();
+
     private final Map<String, ExpiredProxy> expired = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
@@ -55,16 +59,36 @@
         }
         boolean changed = registration.isNewer(before);
         entry.registration = registration;
-        entry.connection = connection;
+        connect(entry, connection);
         entry.lostAtMicros = 0;
         expired.remove(registration.name());
         return changed;
     }
 
+    private void connect(Entry entry, Object connection) {
+        if (entry.connection != connection) {
+            disconnect(entry);
+            entry.connection = connection;
+            entriesByConnection
+                    .computeIfAbsent(connection, key -> new ArrayList<>(1))
+                    .add(entry);
+        }
+    }
+
+    private void disconnect(Entry entry) {
+        List<Entry> others = entriesByConnection.get(entry.connection);
+        if (others != null) {
+            others.remove(entry);
+            if (others.isEmpty()) {
+                entriesByConnection.remove(entry.connection);
+            }
+        }
+    }
+
     /** The connection was closed, or nothing has been received on it for too long. */
     public void connectionLost(long nowMicros, Object connection) {
-        for (Entry entry : entries.values()) {
-            if (entry.connection == connection && entry.lostAtMicros == 0) {
+        for (Entry entry : entriesByConnection.getOrDefault(connection, List.of())) {
+            if (entry.lostAtMicros == 0) {
                 entry.lostAtMicros = nowMicros;
             }
         }
@@ -72,10 +96,8 @@
 
     /** Something was received on the connection, which may have been silent before. */
     public void connectionAlive(Object connection) {
-        for (Entry entry : entries.values()) {
-            if (entry.connection == connection) {
-                entry.lostAtMicros = 0;
-            }
+        for (Entry entry : entriesByConnection.getOrDefault(connection, List.of())) {
+            entry.lostAtMicros = 0;
         }
     }
 
@@ -93,7 +115,9 @@
     }
 
     private void remove(long nowMicros, String name) {
-        ProxyRegistration registration = entries.remove(name).registration;
+        Entry entry = entries.remove(name);
+        disconnect(entry);
+        ProxyRegistration registration = entry.registration;
         if (!registration.shuttingDown()) {
             expired.put(name, new ExpiredProxy(registration, nowMicros));
         }
@@ -115,6 +139,11 @@
         return entries.values().stream().map(entry -> entry.registration).toList();
     }
 
+    /** The names of all proxies, in the same order. */
+    public Collection<String> names() {
+        return List.copyOf(entries.keySet());
+    }
+
     /** How many proxies are registered. */
     public int size() {
         return entries.size();
--- a/src/test/java/org/cypressweir/controlplane/registry/ProxyRegistrations.java
+++ b/src/test/java/org/cypressweir/controlplane/registry/ProxyRegistrations.java
@@ -1,11 +1,11 @@
 package org.cypressweir.controlplane.registry;
 
 /** Registrations for tests. */
-final class ProxyRegistrations {
+public final class ProxyRegistrations {
 
     private ProxyRegistrations() {}
 
-    static ProxyRegistration of(String name, long incarnation, long number) {
+    public static ProxyRegistration of(String name, long incarnation, long number) {
         return new ProxyRegistration(
                 name,
                 incarnation,
