Proxies and controllers serve metrics in the Prometheus text format

Cause: no role had metrics; the users fetch them each 5 s when they look at an incident.

Change: package common.metrics: a page that owners put their counts on, written by the Prometheus client library's text writer when it is asked for, and latency histograms (HdrHistogram). Until then counts are plain numbers of their owners: requests by class of status, attempts by result, retries, the proxy's own responses by kind, durations; changes and reads by result, time to commit, writes to the store with their sync, contact, voters, endpoint updates.

What it costs in processor time and memory: not measured yet.

--- a/src/main/java/org/cypressweir/controlplane/controller/Controller.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/Controller.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.cypressweir.common.diagnostics.StateEndpoint;
+import org.cypressweir.common.metrics.MetricsEndpoint;
+import org.cypressweir.common.metrics.MetricsPage;
 import org.cypressweir.common.settings.NodeSettings;
 import org.cypressweir.common.settings.SettingsLoader;
 import org.cypressweir.common.settings.SettingsWatcher;
@@ -60,6 +62,7 @@
     });
     private final PeerTransport transport = new PeerTransport(group, clock);
     private final ControllerIdentity identity;
+    private final ControllerStatistics statistics = new ControllerStatistics();
     private final UpdatePublisher publisher;
     private final ControllerPeers peers;
     /** Null as long as the store is not open. */
@@ -103,6 +106,7 @@
                 Addresses.parse(identity.peerAddress()),
                 new InboundMessageDispatcher(peers, publisher, this::receivedByReplica));
         openOperatorApi();
+        MetricsEndpoint.open(group, settings.ip(), clock, this::collectMetrics);
         LOG.info("controller started name=" + settings.name());
         try {
             ended.await();
@@ -112,7 +116,7 @@
     }
 
     private void openOperatorApi() throws IOException {
-        OperatorApiHandler operatorApi = new OperatorApiHandler(() -> driver, this::redirectTarget, clock);
+        OperatorApiHandler operatorApi = new OperatorApiHandler(() -> driver, this::redirectTarget, clock, statistics);
         HttpListener.open(
                 group,
                 Addresses.parse(settings.listen().get(CONTROL_PLANE_LISTENER)),
@@ -126,6 +130,15 @@
         return ControllerStatus.of(clock.getAsLong(), identity, peers.statuses(), replica, publisher, includeItems);
     }
 
+    private void collectMetrics(MetricsPage page) {
+        ControllerMetrics metrics = new ControllerMetrics(page);
+        metrics.addCalls(statistics);
+        metrics.addPublisher(publisher);
+        if (driver != null) {
+            metrics.addReplica(driver.replica(), clock.getAsLong());
+        }
+    }
+
     private Map<String, Object> hello() {
         return ControllerMessages.hello(identity.peerAddress(), driver.replica().own(), identity.controlAddress());
     }
@@ -153,7 +166,8 @@
                 eventLoop,
                 clock,
                 peers::send,
-                commit -> publisher.committed(commit.number(), commit.configuration(), commit.voters()));
+                commit -> publisher.committed(commit.number(), commit.configuration(), commit.voters()),
+                statistics);
         driver = opening;
         LOG.info("store opened accepted="
                 + (opened.state() == null ? "none" : opened.state().accepted()));
--- a/src/main/java/org/cypressweir/controlplane/controller/OperatorApiHandler.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/OperatorApiHandler.java
@@ -44,16 +44,23 @@
     private final Supplier<ReplicaDriver> driver;
     private final Supplier<Option<String>> redirectTarget;
     private final LongSupplier clock;
+    private final ControllerStatistics statistics;
 
     /**
      * @param driver gives null as long as the store is not open
      * @param redirectTarget a voter's address for operators, where this controller has no vote
      * @param clock in microseconds
+     * @param statistics counts changes and reads
      */
-    OperatorApiHandler(Supplier<ReplicaDriver> driver, Supplier<Option<String>> redirectTarget, LongSupplier clock) {
+    OperatorApiHandler(
+            Supplier<ReplicaDriver> driver,
+            Supplier<Option<String>> redirectTarget,
+            LongSupplier clock,
+            ControllerStatistics statistics) {
         this.driver = driver;
         this.redirectTarget = redirectTarget;
         this.clock = clock;
+        this.statistics = statistics;
     }
 
     @Override
@@ -127,7 +134,10 @@
 
     private void modify(ServerRequest request) {
         ConfigurationChange.read(request.body())
-                .peekLeft(rejection -> request.answer(rejected(rejection)))
+                .peekLeft(rejection -> {
+                    statistics.changeMalformed();
+                    request.answer(rejected(rejection));
+                })
                 .forEach(change -> submit(request, change));
     }
 
@@ -136,8 +146,9 @@
         int bytes = request.body().length;
         long deadline = startMicros + TIMEOUT_MICROS + (long) (TIMEOUT_MICROS_PER_BYTE * bytes);
         driver.get().submit(change, deadline, result -> {
-            long tookMillis = (clock.getAsLong() - startMicros) / 1_000;
-            LOG.info(outcome(result) + " bytes=" + bytes + " tookMillis=" + tookMillis);
+            long tookMicros = clock.getAsLong() - startMicros;
+            statistics.changeEnded(result, tookMicros);
+            LOG.info(outcome(result) + " bytes=" + bytes + " tookMillis=" + tookMicros / 1_000);
             request.answer(answer(result));
         });
     }
@@ -153,7 +164,10 @@
     }
 
     private void read(ServerRequest request) {
-        driver.get().read(clock.getAsLong() + TIMEOUT_MICROS, result -> request.answer(answer(result)));
+        driver.get().read(clock.getAsLong() + TIMEOUT_MICROS, result -> {
+            statistics.readEnded(result);
+            request.answer(answer(result));
+        });
     }
 
     /** The HTTP response that tells an operator this result. */
--- a/src/main/java/org/cypressweir/controlplane/controller/ReplicaDriver.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/ReplicaDriver.java
@@ -32,6 +32,7 @@
     private final LongSupplier clock;
     private final BiConsumer<String, Map<String, Object>> sender;
     private final Consumer<Effect.Show> commitListener;
+    private final ControllerStatistics statistics;
     private final Map<Long, Consumer<ProposalResult>> pending = new HashMap<>();
     private long lastProposalId;
 
@@ -39,6 +40,7 @@
      * @param clock in microseconds
      * @param sender takes the receiver's replica key and the message
      * @param commitListener takes each state that is committed
+     * @param statistics counts the writes
      */
     ReplicaDriver(
             ConsensusReplica replica,
@@ -47,7 +49,8 @@
             Executor eventLoop,
             LongSupplier clock,
             BiConsumer<String, Map<String, Object>> sender,
-            Consumer<Effect.Show> commitListener) {
+            Consumer<Effect.Show> commitListener,
+            ControllerStatistics statistics) {
         this.replica = replica;
         this.store = store;
         this.diskExecutor = diskExecutor;
@@ -55,6 +58,7 @@
         this.clock = clock;
         this.sender = sender;
         this.commitListener = commitListener;
+        this.statistics = statistics;
     }
 
     ConsensusReplica replica() {
@@ -128,8 +132,13 @@
 
     /** On the disk executor. */
     private void write(Effect.Write write) {
+        long startedAt = clock.getAsLong();
         boolean written = tryWrite(write);
-        eventLoop.execute(() -> execute(replica.written(clock.getAsLong(), write.number(), written)));
+        long tookMicros = clock.getAsLong() - startedAt;
+        eventLoop.execute(() -> {
+            statistics.writeEnded(written, tookMicros);
+            execute(replica.written(clock.getAsLong(), write.number(), written));
+        });
     }
 
     private boolean tryWrite(Effect.Write write) {
--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -64,6 +64,7 @@
     private final Map<PeerConnection, Subscriber> subscribers = new LinkedHashMap<>();
     private List<String> voterAddresses = List.of();
     private long demandPublications;
+    private long endpointUpdates;
     private boolean inQuorumContact;
     private long lastTickAt;
     /** Since when this controller has read without a longer pause of its own: silence before says nothing. */
@@ -93,6 +94,16 @@
         return versionLog;
     }
 
+    /** How often a registration has changed. */
+    long endpointChanges() {
+        return endpointLog.endOffset();
+    }
+
+    /** How many endpoint updates were sent to proxies. */
+    long endpointUpdates() {
+        return endpointUpdates;
+    }
+
     /** The demand of each tenant over all proxies, in requests per second. */
     Map<String, Double> demandTotals() {
         return demand.totals(clock.getAsLong());
@@ -249,6 +260,7 @@
         if (subscriber.endpointsSubscribed && subscriber.offset != endpointLog.endOffset()) {
             connection.sendEncoded(updatesByOffset.computeIfAbsent(subscriber.offset, this::endpointUpdate));
             subscriber.offset = endpointLog.endOffset();
+            endpointUpdates++;
         }
     }
 
--- a/src/main/java/org/cypressweir/dataplane/proxy/InFlightRequests.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/InFlightRequests.java
@@ -26,6 +26,7 @@
     private final LongSupplier clock;
     private final long timerResolutionMicros;
     private final Map<String, ProxiedRequest> requests = new HashMap<>();
+    private final RequestStatistics statistics = new RequestStatistics();
     private final Map<ErrorKind, Long> localResponseCounts = new EnumMap<>(ErrorKind.class);
 
     /** @param timerResolutionMicros how early a timer may run: a request counts as late so long before its deadline */
@@ -63,9 +64,15 @@
         return localResponseCounts;
     }
 
+    /** What is counted of requests that have ended. */
+    RequestStatistics statistics() {
+        return statistics;
+    }
+
     /** A request stays in flight until the last of its attempts has ended. */
     void removeIfEnded(ProxiedRequest request) {
         if (request.state.isClosed() && !request.state.hasPendingAttempt() && requests.remove(request.number) != null) {
+            statistics.record(request);
             request.recordEnd(service);
         }
     }
--- a/src/main/java/org/cypressweir/dataplane/proxy/ProxiedRequest.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ProxiedRequest.java
@@ -131,6 +131,16 @@
         return latencyTargetAt - arrivedAt;
     }
 
+    /** The status of its response; 0 where the client disconnected before there was one. */
+    int status() {
+        return status;
+    }
+
+    /** How long after its arrival it was closed: by its response, or since the client disconnected. */
+    long durationMicros() {
+        return answeredAt - arrivedAt;
+    }
+
     /** Records the request: it has ended, and so have all its attempts. */
     void recordEnd(String service) {
         recordTo(trace, service);
--- a/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
@@ -14,6 +14,8 @@
 import java.util.function.Supplier;
 import org.cypressweir.common.diagnostics.RequestTrace;
 import org.cypressweir.common.diagnostics.StateEndpoint;
+import org.cypressweir.common.metrics.MetricsEndpoint;
+import org.cypressweir.common.metrics.MetricsPage;
 import org.cypressweir.common.settings.NodeSettings;
 import org.cypressweir.common.settings.SettingsLoader;
 import org.cypressweir.common.settings.SettingsWatcher;
@@ -176,6 +178,7 @@
         loop.execute(() -> controllers.updateSeeds(settings.seedPeerAddresses()));
         listen("readiness", () -> CONTROL_LIMITS, readinessEndpoint);
         outbound = listen("outbound", this::clientLimits, outboundListener);
+        MetricsEndpoint.open(group, settings.ip(), clock, this::collectMetrics);
         startPeriodicTasks();
         LOG.info("Proxy started: name=" + settings.name());
         try {
@@ -273,6 +276,18 @@
         return status;
     }
 
+    private void collectMetrics(MetricsPage page) {
+        ProxyMetrics metrics = new ProxyMetrics(page);
+        handlers.tenantHandlers().forEach((service, handler) -> metrics.addService(service, false, handler));
+        handlers.internalHandlers().forEach((service, handler) -> metrics.addService(service, true, handler));
+        metrics.addRejections(outboundListener.rejectionCounts());
+        metrics.addUpstream(dispatcher.load(), peers.forwarder().inFlightCount());
+        metrics.addControlPlane(
+                controllers.controllers(),
+                directory.size(),
+                routingTables.current().configuration().size());
+    }
+
     // ---- Shutdown
 
     /** SIGTERM: requests in flight are answered, then connections are closed ({@link GracefulShutdown}). */
--- /dev/null
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ProxyMetrics.java
@@ -0,0 +1,99 @@
+package org.cypressweir.dataplane.proxy;
+
+import java.util.Locale;
+import java.util.Map;
+import org.cypressweir.common.metrics.MetricsPage;
+import org.cypressweir.dataplane.http.upstream.UpstreamLoad;
+import org.cypressweir.loadbalancing.LoadBalancer.Result;
+
+/** Puts a proxy's metrics on a page. Made for one page; used on the event loop. */
+final class ProxyMetrics {
+
+    private static final String[] STATUS_CLASSES = {"disconnected", "1xx", "2xx", "3xx", "4xx", "5xx"};
+
+    private final MetricsPage page;
+
+    ProxyMetrics(MetricsPage page) {
+        this.page = page;
+    }
+
+    /** @param isInternal whether the handler is that of the applications' own calls, without a tenant */
+    void addService(String service, boolean isInternal, ServiceRequestHandler handler) {
+        String[] labels = {"service", service, "caller", isInternal ? "application" : "tenant"};
+        RequestStatistics statistics = handler.statistics();
+        for (int i = 0; i < STATUS_CLASSES.length; i++) {
+            if (statistics.requests(i) > 0) {
+                page.counter(
+                        "cypressweir_requests",
+                        "Requests that have ended, by the class of their status.",
+                        statistics.requests(i),
+                        with(labels, "status", STATUS_CLASSES[i]));
+            }
+        }
+        for (Result result : Result.values()) {
+            if (statistics.attempts(result) > 0) {
+                page.counter(
+                        "cypressweir_attempts",
+                        "Attempts at application instances, by their result.",
+                        statistics.attempts(result),
+                        with(labels, "result", lowerCase(result.name())));
+            }
+        }
+        page.counter(
+                "cypressweir_retries",
+                "Attempts after the first of each request, hedged ones among them.",
+                statistics.retries(),
+                labels);
+        page.durations(
+                "cypressweir_request_duration_seconds",
+                "From the arrival of a request to its response.",
+                statistics.durations(),
+                labels);
+        page.gauge("cypressweir_requests_in_flight", "Requests in flight.", handler.inFlightCount(), labels);
+        handler.localResponseCounts()
+                .forEach((error, count) -> page.counter(
+                        "cypressweir_local_responses",
+                        "Error responses of the proxy itself to requests that a service was chosen for.",
+                        count,
+                        with(labels, "kind", lowerCase(error.name()))));
+    }
+
+    private static String[] with(String[] labels, String name, String value) {
+        return new String[] {labels[0], labels[1], labels[2], labels[3], name, value};
+    }
+
+    private static String lowerCase(String name) {
+        return name.toLowerCase(Locale.ROOT);
+    }
+
+    /** Requests that were rejected before a service was chosen, by kind of error. */
+    void addRejections(Map<String, Long> countsByKind) {
+        countsByKind.forEach((kind, count) -> page.counter(
+                "cypressweir_rejections",
+                "Requests rejected before any attempt: no route, no key, over a rate limit, not ready.",
+                count,
+                "kind",
+                lowerCase(kind)));
+    }
+
+    /** The application instance beside this proxy, and what this proxy has forwarded to others. */
+    void addUpstream(UpstreamLoad load, int forwarded) {
+        page.gauge("cypressweir_upstream_running", "Requests running at the instance here.", load.running());
+        page.gauge("cypressweir_upstream_waiting", "Requests waiting for the instance here.", load.waiting());
+        page.gauge(
+                "cypressweir_upstream_concurrency_limit",
+                "How many requests may run at the instance here.",
+                load.concurrency());
+        page.gauge("cypressweir_forwarded_in_flight", "Attempts in flight at other proxies.", forwarded);
+    }
+
+    /** @param controllers whether something is received from each controller, by its address */
+    void addControlPlane(Map<String, Boolean> controllers, int proxies, int items) {
+        page.gauge(
+                "cypressweir_controllers_active",
+                "Controllers that something is received from.",
+                controllers.values().stream().filter(active -> active).count());
+        page.gauge("cypressweir_proxies_known", "Proxies in the endpoint directory.", proxies);
+        page.gauge("cypressweir_configuration_items", "Items of the configuration in force.", items);
+    }
+}
--- a/src/main/java/org/cypressweir/dataplane/proxy/ServiceHandlers.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ServiceHandlers.java
@@ -108,6 +108,11 @@
         internalHandlers.values().forEach(handler -> handler.recordInFlight(id, target));
     }
 
+    /** The handlers of internal calls, by service. */
+    Map<String, ServiceRequestHandler> internalHandlers() {
+        return internalHandlers;
+    }
+
     /** The handlers of tenants' requests, by service. */
     Map<String, ServiceRequestHandler> tenantHandlers() {
         return tenantHandlers;
--- a/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
@@ -138,6 +138,11 @@
         return inFlight.localResponseCounts();
     }
 
+    /** What is counted of requests that have ended. */
+    RequestStatistics statistics() {
+        return inFlight.statistics();
+    }
+
     // ---- Admission
 
     /** Takes a request over: from now on its client gets the response from here. */
--- a/src/test/java/org/cypressweir/architecture/ArchitectureTest.java
+++ b/src/test/java/org/cypressweir/architecture/ArchitectureTest.java
@@ -39,10 +39,13 @@
                 + " controlplane.consensus",
         "controlplane.registry: common.util common.transport",
         "common.diagnostics: common.transport dataplane.http.server controlplane.configuration",
+        "common.metrics: dataplane.http.server",
         "dataplane.proxy: loadbalancing common.util common.settings common.transport common.diagnostics"
+                + " common.metrics"
                 + " dataplane.http.server dataplane.quota dataplane.http.upstream controlplane.configuration"
                 + " controlplane.consensus controlplane.distribution controlplane.registry",
         "controlplane.controller: common.util common.settings common.transport common.diagnostics"
+                + " common.metrics"
                 + " dataplane.http.server dataplane.quota controlplane.configuration controlplane.consensus"
                 + " controlplane.storage controlplane.distribution controlplane.registry",
         "meshctl.validation: common.util common.settings common.transport controlplane.configuration",
--- /dev/null
+++ b/src/test/java/org/cypressweir/common/metrics/MetricsEndpointTest.java
@@ -0,0 +1,136 @@
+package org.cypressweir.common.metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.cypressweir.dataplane.http.server.Headers;
+import org.cypressweir.dataplane.http.server.ServerRequest;
+import org.cypressweir.dataplane.http.server.ServerResponse;
+import org.junit.jupiter.api.Test;
+
+/** The page of metrics, and the answers to calls for it. */
+class MetricsEndpointTest {
+
+    private static final class Call implements ServerRequest {
+        private final String method;
+        private final String uri;
+        private ServerResponse response;
+
+        private Call(String method, String uri) {
+            this.method = method;
+            this.uri = uri;
+        }
+
+        @Override
+        public String method() {
+            return method;
+        }
+
+        @Override
+        public String uri() {
+            return uri;
+        }
+
+        @Override
+        public String host() {
+            return "h1";
+        }
+
+        @Override
+        public List<Map.Entry<String, String>> headers() {
+            return List.of();
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[0];
+        }
+
+        @Override
+        public long arrivedMicros() {
+            return 0;
+        }
+
+        @Override
+        public InetSocketAddress remote() {
+            return new InetSocketAddress("127.0.0.1", 1);
+        }
+
+        @Override
+        public boolean answer(ServerResponse answer) {
+            response = answer;
+            return true;
+        }
+
+        @Override
+        public void onDisconnect(Runnable task) {}
+
+        @Override
+        public boolean isOpen() {
+            return response == null;
+        }
+    }
+
+    private static void collect(MetricsPage page) {
+        page.counter("cypressweir_requests", "Requests.", 3, "service", "till", "status", "2xx");
+        page.counter("cypressweir_requests", "Requests.", 1, "service", "a\"b\\c", "status", "5xx");
+        page.gauge("cypressweir_voters", "Voters.", 3);
+        page.flag("cypressweir_quorum_contact", "Contact.", true);
+        LatencyHistogram durations = new LatencyHistogram();
+        for (int i = 1; i <= 100; i++) {
+            durations.record(i * 10_000L);
+        }
+        page.durations("cypressweir_commit_duration_seconds", "Commits.", durations);
+        page.durations("cypressweir_write_duration_seconds", "Writes.", new LatencyHistogram());
+    }
+
+    private static ServerResponse call(String method, String uri) {
+        Call call = new Call(method, uri);
+        new MetricsEndpoint(MetricsEndpointTest::collect).handle(call);
+        return call.response;
+    }
+
+    @Test
+    void pageIsInThePrometheusTextFormat() {
+        ServerResponse response = call("GET", "/metrics?x");
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(Headers.first(response.headers(), "Content-Type")).startsWith("text/plain; version=0.0.4");
+        assertThat(new String(response.body(), StandardCharsets.UTF_8).lines())
+                .contains(
+                        "# TYPE cypressweir_requests_total counter",
+                        "cypressweir_requests_total{service=\"till\",status=\"2xx\"} 3.0",
+                        "cypressweir_requests_total{service=\"a\\\"b\\\\c\",status=\"5xx\"} 1.0",
+                        "# HELP cypressweir_voters Voters.",
+                        "cypressweir_voters 3.0",
+                        "cypressweir_quorum_contact 1.0",
+                        "# TYPE cypressweir_commit_duration_seconds summary",
+                        "cypressweir_commit_duration_seconds_count 100",
+                        "cypressweir_commit_duration_seconds_sum 50.5",
+                        "cypressweir_write_duration_seconds_count 0");
+    }
+
+    /** Two significant digits: what is shown lies within a hundredth of what was recorded. */
+    @Test
+    void quantilesAreThoseOfTheDurations() {
+        LatencyHistogram durations = new LatencyHistogram();
+        assertThat(durations.quantileMicros(0.99)).isZero();
+        for (int i = 1; i <= 1_000; i++) {
+            durations.record(i * 1_000L);
+        }
+        durations.record(-5);
+        assertThat(durations.count()).isEqualTo(1_001);
+        assertThat(durations.quantileMicros(0.5)).isBetween(495_000L, 506_000L);
+        assertThat(durations.quantileMicros(0.99)).isBetween(980_000L, 1_000_000L);
+    }
+
+    @Test
+    void otherCallsAreRejected() {
+        assertThat(call("GET", "/").status()).isEqualTo(404);
+        ServerResponse post = call("POST", "/metrics");
+        assertThat(post.status()).isEqualTo(405);
+        assertThat(Headers.first(post.headers(), "Allow")).isEqualTo("GET");
+    }
+}
