--- a/src/test/java/org/cypressweir/testkit/MeshClient.java
+++ b/src/test/java/org/cypressweir/testkit/MeshClient.java
@@ -52,6 +52,10 @@
         return call(name, MeshNetwork.CONTROL_PORT, "GET", "/cypressweir/state", "", "");
     }
 
+    RawHttpClient.Message metrics(String name) throws IOException {
+        return call(name, MeshNetwork.METRICS_PORT, "GET", "/metrics", "", "");
+    }
+
     RawHttpClient.Message readiness(String proxy) throws IOException {
         return call(proxy, MeshNetwork.READINESS_PORT, "GET", "/cypressweir/readiness", "", "");
     }
--- a/src/test/java/org/cypressweir/testkit/MeshNetwork.java
+++ b/src/test/java/org/cypressweir/testkit/MeshNetwork.java
@@ -21,6 +21,7 @@
     static final int READINESS_PORT = 21_781;
     static final int CONTROL_PORT = 21_790;
     static final int APPLICATION_PORT = 21_800;
+    static final int METRICS_PORT = 21_810;
 
     private static final int FIRST_ADDITIONAL_HOST = 51;
     private static final int SPARE_HOST = 99;
