Controllers log their recovery, and a blank one asks the seeds that it is given later

Cause: no log line said that a controller had learned the state, was admitted as a voter, lost its vote or shut down. Seeds that change (SIGHUP, new settings) were used for connections alone: a new controller whose first seeds were outdated went on asking those.

Change: ReplicaStateLog compares the replica at each tick and logs what has changed: learning, votes, voters, disk. The learner takes new seeds; at the very first start, where the seeds are the voters, they stay.

Measured: ConsensusReplicaTest.aBlankReplicaAsksTheSeedsThatItIsGivenLater (fails to compile before: there was no such call), ConsensusReplicaTest, ControllerShutdownTest, ArchitectureTest pass.

--- a/src/main/java/org/cypressweir/controlplane/consensus/ConsensusReplica.java
+++ b/src/main/java/org/cypressweir/controlplane/consensus/ConsensusReplica.java
@@ -114,6 +114,11 @@
         return context.own;
     }
 
+    /** Replaces the addresses that a replica with an empty disk asks. */
+    public void updateSeeds(List<String> seeds) {
+        learner.updateSeeds(seeds);
+    }
+
     /** To be called once, first. */
     public List<Effect> start(long now) {
         return tick(now);
--- a/src/main/java/org/cypressweir/controlplane/consensus/Learner.java
+++ b/src/main/java/org/cypressweir/controlplane/consensus/Learner.java
@@ -20,7 +20,7 @@
 
     private final ReplicaContext context;
     private final Acceptor acceptor;
-    private final List<String> seeds;
+    private List<String> seeds;
     private final boolean initialStart;
     private final Map<String, ConsensusMessage.LearnResponse> responses = new HashMap<>();
     private long requestedAt;
@@ -30,12 +30,23 @@
     Learner(ReplicaContext context, Acceptor acceptor, List<String> seeds, boolean initialStart) {
         this.context = context;
         this.acceptor = acceptor;
-        this.seeds = seeds.stream().distinct().sorted().toList();
+        this.seeds = sorted(seeds);
         this.initialStart = initialStart;
         startedAt = context.now;
         requestedAt = startedAt - context.options.requestIntervalMicros();
     }
 
+    private static List<String> sorted(List<String> seeds) {
+        return seeds.stream().distinct().sorted().toList();
+    }
+
+    /** Asks these from now on. At the very first start the seeds are the voters, and stay what they were. */
+    void updateSeeds(List<String> next) {
+        if (!initialStart) {
+            seeds = sorted(next);
+        }
+    }
+
     /** Why this replica may not be bootstrapped, or null: a replica that holds a state is never passed over. */
     String bootstrapObstacle(Set<String> abandoned) {
         if (acceptor.initialized() || initialStart) {
--- a/src/main/java/org/cypressweir/controlplane/controller/Controller.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/Controller.java
@@ -63,6 +63,7 @@
     private final PeerTransport transport = new PeerTransport(group, clock);
     private final ControllerIdentity identity;
     private final ControllerStatistics statistics = new ControllerStatistics();
+    private final ReplicaStateLog stateLog = new ReplicaStateLog();
     private final UpdatePublisher publisher;
     private final ControllerPeers peers;
     /** Null as long as the store is not open. */
@@ -188,6 +189,7 @@
             connectPeers();
             peers.tick();
             driver.tick();
+            stateLog.update(driver.replica(), clock.getAsLong());
             checkHandover();
             publisher.tick();
             if (ticks % TICKS_PER_DEMAND_UPDATE == 0) {
@@ -209,7 +211,14 @@
     /** Reads the settings file on the disk thread, if it has changed. */
     private void checkSettings(boolean signalled) {
         diskExecutor.execute(() -> settingsWatcher.poll(
-                signalled, changed -> eventLoop.execute(() -> seeds = List.copyOf(changed.seedPeerAddresses()))));
+                signalled, changed -> eventLoop.execute(() -> updateSeeds(List.copyOf(changed.seedPeerAddresses())))));
+    }
+
+    private void updateSeeds(List<String> next) {
+        seeds = next;
+        if (driver != null) {
+            driver.replica().updateSeeds(next);
+        }
     }
 
     private void receivedByReplica(String sender, Map<String, Object> message) {
@@ -246,6 +255,7 @@
     }
 
     private void beginShutdown(CountDownLatch handedOver) {
+        LOG.info("controller shutting down name=" + settings.name());
         handover = handedOver;
         if (driver == null) {
             handedOver.countDown();
--- /dev/null
+++ b/src/main/java/org/cypressweir/controlplane/controller/ReplicaStateLog.java
@@ -0,0 +1,64 @@
+package org.cypressweir.controlplane.controller;
+
+import java.util.List;
+import org.cypressweir.controlplane.consensus.ConsensusReplica;
+import org.jboss.logging.Logger;
+
+/**
+ * Logs what an operator follows while a replica recovers: a line for each change of its state, of its vote, of the
+ * voters and of its disk. Used on the event loop alone.
+ */
+final class ReplicaStateLog {
+
+    private static final Logger LOG = Logger.getLogger(ReplicaStateLog.class);
+
+    private boolean wasBlank;
+    private boolean wasVoter;
+    private boolean hadDiskFailed;
+    private List<String> lastVoters = List.of();
+
+    /** Compares the replica with the last call; the first call logs what differs from a blank state. */
+    void update(ConsensusReplica replica, long nowMicros) {
+        logLearning(replica);
+        logVoters(replica);
+        logDisk(replica.diskFailed(nowMicros));
+    }
+
+    private void logLearning(ConsensusReplica replica) {
+        boolean isBlank = replica.isBlank();
+        if (isBlank && !wasBlank) {
+            LOG.info("replica is blank and learns the committed state replica=" + replica.own());
+        } else if (!isBlank && wasBlank) {
+            LOG.info("replica has learned the committed state replica=" + replica.own() + " proposal="
+                    + replica.committed().number());
+        }
+        wasBlank = isBlank;
+    }
+
+    private void logVoters(ConsensusReplica replica) {
+        if (replica.isBlank()) {
+            return;
+        }
+        List<String> voters = replica.voters();
+        if (!voters.equals(lastVoters)) {
+            LOG.info("voters changed voters=" + String.join(",", voters));
+            lastVoters = List.copyOf(voters);
+        }
+        boolean isVoter = replica.isVoter();
+        if (isVoter != wasVoter) {
+            LOG.info((isVoter ? "replica votes" : "replica votes no longer") + " replica=" + replica.own());
+            wasVoter = isVoter;
+        }
+    }
+
+    private void logDisk(boolean hasFailed) {
+        if (hasFailed != hadDiskFailed) {
+            if (hasFailed) {
+                LOG.warn("disk failed: changes and reads are rejected until it takes writes");
+            } else {
+                LOG.info("disk takes writes again");
+            }
+            hadDiskFailed = hasFailed;
+        }
+    }
+}
--- a/src/test/java/org/cypressweir/controlplane/consensus/ConsensusReplicaTest.java
+++ b/src/test/java/org/cypressweir/controlplane/consensus/ConsensusReplicaTest.java
@@ -271,6 +271,24 @@
         assertAccepted(world, world.replica(3), change("t", 2, "b"));
     }
 
+    /** Nobody knows the address of a replica that is new: it depends on its seeds. */
+    @Test
+    void aBlankReplicaAsksTheSeedsThatItIsGivenLater() {
+        SimulatedReplicas world = new SimulatedReplicas(3, 3);
+        world.run(500_000);
+        assertAccepted(world, world.replica(1), change("t", 1, "a"));
+        List<String> seeds = world.seeds;
+        world.seeds = List.of("10.0.0.77:7");
+        Replica fourth = world.start(4);
+        world.run(5_000_000);
+        assertThat(fourth.consensus().isBlank()).isTrue();
+        fourth.consensus().updateSeeds(seeds);
+        world.run(5_000_000);
+        assertThat(fourth.consensus().isBlank()).isFalse();
+        assertThat(world.replica(1).consensus().standbys())
+                .contains(fourth.consensus().own());
+    }
+
     /** Also with seeds that name only blank replicas: one that is down may have a committed state. */
     @ParameterizedTest
     @CsvSource({"3, 3, false", "4, 3, true", "5, 4, true", "3, 2, true", "3, 1, true"})
