Names inside Cells are those of the field

Cause: fields and variables of sidecar.cell.Cells had one letter or needed explaining (parts, parting, repeats, inHand).

Change: names only: cellStates, assignment, idempotencyKeys, inFlight, migration, ticket and others. No statement changes.

Measured: CellsTest, CellsRandomWalkTest and the other tests of the package pass; CellsLoopbackTest failed once at a load of 27 (503 for a booking with a deadline of 3 s) and passed at 24, unchanged in between.

--- a/src/main/java/org/cypressweir/sidecar/cell/CellState.java
+++ b/src/main/java/org/cypressweir/sidecar/cell/CellState.java
@@ -21,7 +21,7 @@
     HeavyUnits waiting = new HeavyUnits(COUNTERS, LONG);
     long turnedAt;
     int guests;
-    int inHand;
+    int inFlight;
 
     /** A surge must not have become usual by the time that it makes the cell sick. */
     void turn(long now) {
--- a/src/main/java/org/cypressweir/sidecar/cell/Cells.java
+++ b/src/main/java/org/cypressweir/sidecar/cell/Cells.java
@@ -79,67 +79,67 @@
     }
 
     /** Writes that one move may hold; what comes beyond goes to the old cell at once. */
-    static final int HELD = 256;
+    static final int MAX_HELD_PER_MIGRATION = 256;
     /** Keyed requests that are remembered while units move. */
-    static final int REMEMBERED = 1 << 16;
+    static final int MAX_REMEMBERED_KEYS = 1 << 16;
     /**
      * Part of its cell from which a unit that has surged is no guest: it would bring what made the cell
      * sick.
      */
-    static final double FLOODING = 1.0 / 8;
+    static final double FLOODING_PART = 1.0 / 8;
     /** Part of the guests of a sick cell that stay at home, so that it shows when it is well. */
-    static final double TRIAL = 1.0 / 16;
+    static final double TRIAL_PART = 1.0 / 16;
 
     private static final long TRIAL_SALT = 0x7E;
-    private static final long TICK = 1_000_000;
+    private static final long TICK_MICROS = 1_000_000;
 
     private final String pool;
     private final Actions actions;
-    private final IdempotencyKeys repeats = new IdempotencyKeys(REMEMBERED);
+    private final IdempotencyKeys idempotencyKeys = new IdempotencyKeys(MAX_REMEMBERED_KEYS);
     /** By unit: the order or the quarantine that holds for it. */
-    private final Map<Long, UnitMigration> moves = new LinkedHashMap<>();
+    private final Map<Long, UnitMigration> migrations = new LinkedHashMap<>();
 
-    private final Map<UnitMigration, Set<Ticket>> held = new HashMap<>();
+    private final Map<UnitMigration, Set<Ticket>> heldTickets = new HashMap<>();
     private final FloodIsolation floods;
     private CellsConfiguration plan;
     private int requests;
-    private CellState[] parts = {};
+    private CellState[] cellStates = {};
     /** Places of the sick cells. */
     private final BitSet sick = new BitSet();
 
-    private CellAssignment parting;
+    private CellAssignment assignment;
     private Placement placement;
     /** Homes before they last changed, for keyed requests that may be repeated; null once that is over. */
-    private Placement earlier;
+    private Placement previousPlacement;
 
-    private Map<Long, Integer> earlierMoves = Map.of();
-    private long changedAt;
-    private int inHand;
+    private Map<Long, Integer> previousHomes = Map.of();
+    private long placementChangedAt;
+    private int inFlight;
     private long wakeAt;
 
     /**
      * @param pool its name, for the log
-     * @param requests that the pool may have in hand; guests have a part of each cell's part
+     * @param requests that the pool may have in flight; guests have a part of each cell's part
      */
     public Cells(String pool, CellsConfiguration plan, int requests, long now, Actions actions) {
         this.pool = pool;
         this.actions = actions;
         floods = new FloodIsolation(this);
-        repeats.begin(now);
+        idempotencyKeys.begin(now);
         this.plan = plan;
         this.requests = requests;
         grow();
-        parting = new CellAssignment(plan.cells(), plan.spread(), plan.keepMicros());
-        placement = new Placement(plan.cells(), plan.assigned(), parting.open());
+        assignment = new CellAssignment(plan.cells(), plan.spread(), plan.keepMicros());
+        placement = new Placement(plan.cells(), plan.assigned(), assignment.open());
         order(now);
     }
 
     /** A state for each cell of the plan; those that there are stay. */
     private void grow() {
-        int known = parts.length;
-        parts = Arrays.copyOf(parts, plan.cells().size());
-        for (int i = known; i < parts.length; i++) {
-            parts[i] = new CellState();
+        int known = cellStates.length;
+        cellStates = Arrays.copyOf(cellStates, plan.cells().size());
+        for (int i = known; i < cellStates.length; i++) {
+            cellStates[i] = new CellState();
         }
     }
 
@@ -150,34 +150,34 @@
 
     /** The cell of a server on the list; -1 for any other. */
     public int cellOf(long server) {
-        return parting.cellOf(server);
+        return assignment.cellOf(server);
     }
 
     /** Whether a cell is sick. */
     public boolean sick(int cell) {
-        return parts[cell].health.sick();
+        return cellStates[cell].health.sick();
     }
 
     // ---- Servers and orders
 
     /** Takes over a list; the servers that stay and whose cell has changed. */
     public List<CellAssignment.Moved> listed(long now, ListKind kind, List<Server> lines) {
-        List<CellAssignment.Moved> moved = parting.listed(now, kind, lines);
+        List<CellAssignment.Moved> moved = assignment.listed(now, kind, lines);
         reopen(now);
-        arm(now);
+        scheduleTimer(now);
         return moved;
     }
 
     /** Gives up places that were kept for too long; the servers whose cell has changed by that. */
     public List<CellAssignment.Moved> sweep(long now) {
-        List<CellAssignment.Moved> moved = parting.sweep(now);
+        List<CellAssignment.Moved> moved = assignment.sweep(now);
         reopen(now);
         return moved;
     }
 
     /** Cells that have servers for the first time, or none any more, change homes. */
     private void reopen(long now) {
-        BitSet open = parting.open();
+        BitSet open = assignment.open();
         if (!placement.isFor(open)) {
             Placement next = new Placement(plan.cells(), plan.assigned(), open);
             // Before the first list nothing was anywhere, so there is nothing to keep.
@@ -188,10 +188,10 @@
     private void rehome(long now, Placement next, boolean wasInUse) {
         if (wasInUse && plan.windowMicros() > 0) {
             Map<Long, Integer> frozen = new HashMap<>();
-            moves.forEach((unit, m) -> frozen.put(unit, m.home()));
-            earlier = placement;
-            earlierMoves = frozen;
-            changedAt = now;
+            migrations.forEach((unit, migration) -> frozen.put(unit, migration.home()));
+            previousPlacement = placement;
+            previousHomes = frozen;
+            placementChangedAt = now;
         }
         placement = next;
     }
@@ -213,36 +213,36 @@
         if (!before.cells().equals(next.cells())
                 || before.spread() != next.spread()
                 || before.keepMicros() != next.keepMicros()) {
-            CellAssignment old = parting;
-            parting = new CellAssignment(next.cells(), next.spread(), next.keepMicros());
-            moved = parting.instead(now, old);
+            CellAssignment old = assignment;
+            assignment = new CellAssignment(next.cells(), next.spread(), next.keepMicros());
+            moved = assignment.instead(now, old);
         }
         Map<Long, Integer> homes = new HashMap<>();
-        moves.forEach((unit, m) -> homes.put(unit, m.home()));
-        rehome(now, new Placement(next.cells(), next.assigned(), parting.open()), true);
-        for (UnitMigration m : List.copyOf(moves.values())) {
-            boolean stays = m.automatic
+        migrations.forEach((unit, migration) -> homes.put(unit, migration.home()));
+        rehome(now, new Placement(next.cells(), next.assigned(), assignment.open()), true);
+        for (UnitMigration migration : List.copyOf(migrations.values())) {
+            boolean stays = migration.automatic
                     ? next.quarantine() != null
                             && next.quarantine().equals(before.quarantine())
-                            && !next.assigned().containsKey(m.plan.unit())
-                    : next.moves().contains(m.plan);
+                            && !next.assigned().containsKey(migration.plan.unit())
+                    : next.moves().contains(migration.plan);
             if (!stays) {
-                free(now, m);
-                moves.remove(m.plan.unit());
-                floods.forget(m.plan.unit());
+                releaseHeld(now, migration);
+                migrations.remove(migration.plan.unit());
+                floods.forget(migration.plan.unit());
             }
         }
         for (MoveConfiguration order : next.moves()) {
-            UnitMigration m = moves.get(order.unit());
-            if (m == null || m.automatic) {
-                if (m != null) {
-                    free(now, m);
+            UnitMigration migration = migrations.get(order.unit());
+            if (migration == null || migration.automatic) {
+                if (migration != null) {
+                    releaseHeld(now, migration);
                     floods.forget(order.unit());
                 }
                 begin(now, order, homes.getOrDefault(order.unit(), placement.home(order.unit())), false);
             }
         }
-        arm(now);
+        scheduleTimer(now);
         return moved;
     }
 
@@ -259,30 +259,31 @@
 
     /** Ends: nothing is held from now on. */
     public void closing(long now) {
-        List.copyOf(moves.values()).forEach(m -> free(now, m));
-        moves.clear();
+        List.copyOf(migrations.values()).forEach(migration -> releaseHeld(now, migration));
+        migrations.clear();
         floods.clear();
     }
 
     private void order(long now) {
         plan.moves().forEach(order -> begin(now, order, placement.home(order.unit()), false));
-        arm(now);
+        scheduleTimer(now);
     }
 
     void begin(long now, MoveConfiguration order, int from, boolean automatic) {
         // What this process has not seen from its start on may be repeated, or still run.
-        UnitMigration m = new UnitMigration(order, from, automatic, now, plan.windowMicros(), plan.patienceMicros());
-        moves.put(order.unit(), m);
-        step(now, m);
+        UnitMigration migration =
+                new UnitMigration(order, from, automatic, now, plan.windowMicros(), plan.patienceMicros());
+        migrations.put(order.unit(), migration);
+        step(now, migration);
     }
 
     /** What a move holds goes where its unit is at home. */
-    private void free(long now, UnitMigration m) {
-        Set<Ticket> waiting = held.remove(m);
-        for (Ticket t : waiting == null ? Set.<Ticket>of() : waiting) {
-            t.heldBy = null;
-            send(now, t, m.home(), m);
-            actions.release(t);
+    private void releaseHeld(long now, UnitMigration migration) {
+        Set<Ticket> waiting = heldTickets.remove(migration);
+        for (Ticket ticket : waiting == null ? Set.<Ticket>of() : waiting) {
+            ticket.heldBy = null;
+            send(now, ticket, migration.home(), migration);
+            actions.release(ticket);
         }
     }
 
@@ -297,81 +298,93 @@
      * @param deadlineMicros when it must have its answer
      */
     public Ticket ask(long now, long unit, Effect effect, long token, long hash, long deadlineMicros) {
-        Ticket t = new Ticket(unit, effect, token, now);
-        inHand++;
-        UnitMigration m = moves.get(unit);
-        if (m != null) {
-            step(now, m);
-            boolean fresh = effect != Effect.SAFE && known(now, t) < 0;
+        Ticket ticket = new Ticket(unit, effect, token, now);
+        inFlight++;
+        UnitMigration migration = migrations.get(unit);
+        if (migration != null) {
+            step(now, migration);
+            boolean fresh = effect != Effect.SAFE && known(now, ticket) < 0;
             if (fresh) {
-                t.retryAfter = m.refuses(now);
+                ticket.retryAfter = migration.refuses(now);
             }
-            if (fresh && t.retryAfter == 0 && effect == Effect.KEYED && m.plan.freezeMicros() > 0 && m.switched()) {
+            if (fresh
+                    && ticket.retryAfter == 0
+                    && effect == Effect.KEYED
+                    && migration.plan.freezeMicros() > 0
+                    && migration.switched()) {
                 // What this process has not seen may have been at the old cell before the freeze.
-                t.retryAfter = Math.max(0, m.knownSince(repeats.completeSince()) + plan.windowMicros() - now);
+                ticket.retryAfter =
+                        Math.max(0, migration.knownSince(idempotencyKeys.completeSince()) + plan.windowMicros() - now);
             }
-            if (t.retryAfter > 0) {
-                inHand--;
-                return t;
+            if (ticket.retryAfter > 0) {
+                inFlight--;
+                return ticket;
             }
-            if (fresh && m.holds(now) && heldBy(m) < HELD && deadlineMicros - now > 2 * m.plan.fenceMicros()) {
-                t.heldBy = m;
-                held.computeIfAbsent(m, x -> new LinkedHashSet<>()).add(t);
-                arm(now);
-                return t;
+            if (fresh
+                    && migration.holds(now)
+                    && heldBy(migration) < MAX_HELD_PER_MIGRATION
+                    && deadlineMicros - now > 2 * migration.plan.fenceMicros()) {
+                ticket.heldBy = migration;
+                heldTickets
+                        .computeIfAbsent(migration, x -> new LinkedHashSet<>())
+                        .add(ticket);
+                scheduleTimer(now);
+                return ticket;
             }
         }
         if (effect == Effect.SAFE) {
-            int cell = m == null ? placement.home(unit) : m.ofSafe(now, hash);
-            guest(t, open(unit, cell), hash);
-            enter(t);
-        } else if (effect == Effect.UNSAFE && plan.guestWrites() && (m == null || m.over())) {
-            guest(t, open(unit, m == null ? placement.home(unit) : m.home()), hash);
-            enter(t);
+            int cell = migration == null ? placement.home(unit) : migration.ofSafe(now, hash);
+            guest(ticket, open(unit, cell), hash);
+            enter(ticket);
+        } else if (effect == Effect.UNSAFE && plan.guestWrites() && (migration == null || migration.over())) {
+            guest(ticket, open(unit, migration == null ? placement.home(unit) : migration.home()), hash);
+            enter(ticket);
         } else {
-            send(now, t, m == null ? placement.home(unit) : m.home(), m);
+            send(now, ticket, migration == null ? placement.home(unit) : migration.home(), migration);
         }
-        arm(now);
-        return t;
+        scheduleTimer(now);
+        return ticket;
     }
 
-    private int heldBy(UnitMigration m) {
-        Set<Ticket> waiting = held.get(m);
+    private int heldBy(UnitMigration migration) {
+        Set<Ticket> waiting = heldTickets.get(migration);
         return waiting == null ? 0 : waiting.size();
     }
 
     /** The cell that may know a keyed request already; -1 where none can. */
-    private int known(long now, Ticket t) {
-        return t.effect == Effect.KEYED ? repeats.cellOf(now, plan.windowMicros(), t.token) : -1;
+    private int known(long now, Ticket ticket) {
+        return ticket.effect == Effect.KEYED ? idempotencyKeys.cellOf(now, plan.windowMicros(), ticket.token) : -1;
     }
 
-    private void send(long now, Ticket t, int home, UnitMigration m) {
+    private void send(long now, Ticket ticket, int home, UnitMigration migration) {
         int cell = home;
-        boolean moving = m != null && !m.over();
-        if (t.effect == Effect.KEYED && plan.windowMicros() > 0) {
-            boolean settling = earlier != null && now - changedAt < plan.windowMicros();
-            int known = known(now, t);
+        boolean moving = migration != null && !migration.over();
+        if (ticket.effect == Effect.KEYED && plan.windowMicros() > 0) {
+            boolean settling = previousPlacement != null && now - placementChangedAt < plan.windowMicros();
+            int known = known(now, ticket);
             if (known >= 0) {
                 cell = known;
             } else if (settling) {
-                Integer frozen = earlierMoves.get(t.unit);
-                cell = m != null && m.switched() ? home : frozen != null ? frozen : earlier.home(t.unit);
+                Integer frozen = previousHomes.get(ticket.unit);
+                cell = migration != null && migration.switched()
+                        ? home
+                        : frozen != null ? frozen : previousPlacement.home(ticket.unit);
             }
-            if (settling || known >= 0 || moving && !m.switched()) {
-                repeats.used(now, plan.windowMicros(), t.token, cell);
+            if (settling || known >= 0 || moving && !migration.switched()) {
+                idempotencyKeys.used(now, plan.windowMicros(), ticket.token, cell);
             }
         }
-        cell = open(t.unit, cell);
-        if (moving && !m.switched() && cell == m.from) {
-            t.counted = m;
-            m.writeSent();
+        cell = open(ticket.unit, cell);
+        if (moving && !migration.switched() && cell == migration.from) {
+            ticket.counted = migration;
+            migration.writeSent();
         }
-        t.cell = cell;
-        enter(t);
+        ticket.cell = cell;
+        enter(ticket);
     }
 
-    private void enter(Ticket t) {
-        parts[t.cell].inHand++;
+    private void enter(Ticket ticket) {
+        cellStates[ticket.cell].inFlight++;
     }
 
     /** A cell without any server to its name is nobody's. */
@@ -380,72 +393,72 @@
     }
 
     /** A request of a sick cell may be a guest of the next, within what that gives to guests. */
-    private void guest(Ticket t, int home, long hash) {
-        t.cell = home;
+    private void guest(Ticket ticket, int home, long hash) {
+        ticket.cell = home;
         if (plan.guests() <= 0
-                || !parts[home].health.sick()
-                || parts[home].floods(t.unit, FLOODING)
-                || Hashes.uniform(hash, TRIAL_SALT) < TRIAL) {
+                || !cellStates[home].health.sick()
+                || cellStates[home].floods(ticket.unit, FLOODING_PART)
+                || Hashes.uniform(hash, TRIAL_SALT) < TRIAL_PART) {
             return;
         }
-        int next = placement.next(t.unit, sick);
-        if (next >= 0 && parts[next].guests < plan.guests() * plan.part(next, requests)) {
-            t.cell = next;
-            t.guest = true;
-            parts[next].guests++;
+        int next = placement.next(ticket.unit, sick);
+        if (next >= 0 && cellStates[next].guests < plan.guests() * plan.part(next, requests)) {
+            ticket.cell = next;
+            ticket.guest = true;
+            cellStates[next].guests++;
         }
     }
 
     /** A request that was held has left, or is given up by its host: it has been nowhere. */
-    public void left(long now, Ticket t) {
-        if (t.heldBy != null) {
-            held.getOrDefault(t.heldBy, Set.of()).remove(t);
-            t.heldBy = null;
-            inHand--;
+    public void left(long now, Ticket ticket) {
+        if (ticket.heldBy != null) {
+            heldTickets.getOrDefault(ticket.heldBy, Set.of()).remove(ticket);
+            ticket.heldBy = null;
+            inFlight--;
         }
     }
 
     /** Its client has its answer, or has left; in time means served within the aim of its class. */
-    public void answered(long now, Ticket t, boolean inTime) {
+    public void answered(long now, Ticket ticket, boolean inTime) {
         // How guests fare says something of the cell they are at, but not of their own.
-        parts[t.cell].health.told(now, inTime);
-        if (!t.guest) {
-            double micros = Math.max(1, now - t.takenAt);
-            parts[t.cell].lately.add(now, t.unit, micros);
-            parts[t.cell].filling.add(now, t.unit, micros);
+        cellStates[ticket.cell].health.told(now, inTime);
+        if (!ticket.guest) {
+            double micros = Math.max(1, now - ticket.takenAt);
+            cellStates[ticket.cell].lately.add(now, ticket.unit, micros);
+            cellStates[ticket.cell].filling.add(now, ticket.unit, micros);
         }
     }
 
     /** Nothing of it is out any more. */
-    public void ended(long now, Ticket t) {
-        inHand--;
-        parts[t.cell].inHand--;
-        if (t.guest) {
-            parts[t.cell].guests--;
+    public void ended(long now, Ticket ticket) {
+        inFlight--;
+        cellStates[ticket.cell].inFlight--;
+        if (ticket.guest) {
+            cellStates[ticket.cell].guests--;
         }
-        if (t.counted != null) {
-            UnitMigration m = t.counted;
-            t.counted = null;
-            m.writeEnded();
-            if (m.state() == UnitMigration.State.SWITCHING && m.writesOut() == 0) {
-                step(now, m);
+        if (ticket.counted != null) {
+            UnitMigration migration = ticket.counted;
+            ticket.counted = null;
+            migration.writeEnded();
+            if (migration.state() == UnitMigration.State.SWITCHING && migration.writesOut() == 0) {
+                step(now, migration);
             }
         }
     }
 
-    /** Requests in hand at a cell, guests among them. */
-    public int inHand(int cell) {
-        return parts[cell].inHand;
+    /** requests in flight at a cell, guests among them. */
+    public int inFlight(int cell) {
+        return cellStates[cell].inFlight;
     }
 
     /** Guests among them. */
     public int guests(int cell) {
-        return parts[cell].guests;
+        return cellStates[cell].guests;
     }
 
     /** Requests that are held by a fence. */
     public int held() {
-        return held.values().stream().mapToInt(Set::size).sum();
+        return heldTickets.values().stream().mapToInt(Set::size).sum();
     }
 
     // ---- Time
@@ -453,53 +466,58 @@
     /** What was asked for with {@link Actions#timer}; a later or an additional call does no harm. */
     public void timer(long now) {
         wakeAt = 0;
-        for (int c = 0; c < parts.length; c++) {
-            if (parts[c].health.look(now)) {
-                sick.set(c, parts[c].health.sick());
+        for (int c = 0; c < cellStates.length; c++) {
+            if (cellStates[c].health.look(now)) {
+                sick.set(c, cellStates[c].health.sick());
                 actions.log("cell " + plan.cells().get(c).name() + " of pool " + pool
-                        + (parts[c].health.sick()
+                        + (cellStates[c].health.sick()
                                 ? " is sick: most of its answers are late or none"
                                 : " is well again"));
             }
-            parts[c].turn(now);
+            cellStates[c].turn(now);
         }
-        List.copyOf(moves.values()).forEach(m -> step(now, m));
+        List.copyOf(migrations.values()).forEach(migration -> step(now, migration));
         if (plan.quarantine() != null) {
             floods.look(now, plan.quarantine());
         }
-        if (earlier != null && now - changedAt >= plan.windowMicros()) {
-            earlier = null;
-            earlierMoves = Map.of();
+        if (previousPlacement != null && now - placementChangedAt >= plan.windowMicros()) {
+            previousPlacement = null;
+            previousHomes = Map.of();
         }
-        arm(now);
-    }
-
-    private void step(long now, UnitMigration m) {
-        int to = m.plan.to();
-        boolean toSick = parts[to].health.sick() || !placement.isOpen(to);
-        for (int i = 0; i < 3 && m.step(now, toSick, m.knownSince(repeats.completeSince())); i++) {
-            say(m);
-            if (m.state() != UnitMigration.State.SWITCHING) {
-                free(now, m);
+        scheduleTimer(now);
+    }
+
+    private void step(long now, UnitMigration migration) {
+        int to = migration.plan.to();
+        boolean isTargetSick = cellStates[to].health.sick() || !placement.isOpen(to);
+        for (int i = 0;
+                i < 3 && migration.step(now, isTargetSick, migration.knownSince(idempotencyKeys.completeSince()));
+                i++) {
+            logStep(migration);
+            if (migration.state() != UnitMigration.State.SWITCHING) {
+                releaseHeld(now, migration);
             }
         }
     }
 
-    private void say(UnitMigration m) {
+    private void logStep(UnitMigration migration) {
         String what =
-                switch (m.state()) {
-                    case WAITING -> "goes back: cell " + name(m.plan.to()) + " is sick (" + m.tries() + ")";
-                    case RAMPING -> m.tries() == 0 ? "begins" : "goes on after " + m.tries() + " set-backs";
-                    case SWITCHING -> "holds writes until " + m.writesOut() + " at cell " + name(m.from)
+                switch (migration.state()) {
+                    case WAITING -> "goes back: cell " + name(migration.plan.to()) + " is sick (" + migration.tries()
+                            + ")";
+                    case RAMPING -> migration.tries() == 0
+                            ? "begins"
+                            : "goes on after " + migration.tries() + " set-backs";
+                    case SWITCHING -> "holds writes until " + migration.writesOut() + " at cell " + name(migration.from)
                             + " have ended";
-                    case FROZEN -> "refuses writes: they must have ended at cell " + name(m.from);
-                    case SETTLING -> "writes go to cell " + name(m.plan.to()) + " from now on";
+                    case FROZEN -> "refuses writes: they must have ended at cell " + name(migration.from);
+                    case SETTLING -> "writes go to cell " + name(migration.plan.to()) + " from now on";
                     case DONE -> "is done";
-                    case GIVEN_UP -> "is given up after " + m.tries() + " tries: the unit stays at cell "
-                            + name(m.from);
+                    case GIVEN_UP -> "is given up after " + migration.tries() + " tries: the unit stays at cell "
+                            + name(migration.from);
                 };
-        actions.log("move " + m.plan.name() + " of pool " + pool + " (" + m.plan.label() + ", " + name(m.from) + " to "
-                + name(m.plan.to()) + ") " + what);
+        actions.log("move " + migration.plan.name() + " of pool " + pool + " (" + migration.plan.label() + ", "
+                + name(migration.from) + " to " + name(migration.plan.to()) + ") " + what);
     }
 
     private String name(int cell) {
@@ -510,12 +528,12 @@
 
     /** The order or quarantine that holds for a unit; null for none. */
     UnitMigration move(long unit) {
-        return moves.get(unit);
+        return migrations.get(unit);
     }
 
     /** What was ordered for a unit, or its quarantine, is over and forgotten. */
     void settle(long unit) {
-        moves.remove(unit);
+        migrations.remove(unit);
     }
 
     /** Where a unit is at home without any move. */
@@ -528,24 +546,25 @@
     }
 
     CellState state(int cell) {
-        return parts[cell];
+        return cellStates[cell];
     }
 
-    private void arm(long now) {
-        if (wakeAt != 0 && moves.isEmpty()) {
+    private void scheduleTimer(long now) {
+        if (wakeAt != 0 && migrations.isEmpty()) {
             return;
         }
-        boolean busy = inHand > 0 || parting.keeps() || earlier != null || floods.any();
+        boolean busy = inFlight > 0 || assignment.keeps() || previousPlacement != null || floods.any();
         long at = Long.MAX_VALUE;
-        for (UnitMigration m : moves.values()) {
-            if (!m.over()) {
-                at = Math.min(at, Math.max(now + 1_000, m.wakeAt() == 0 ? now + TICK : m.wakeAt()));
+        for (UnitMigration migration : migrations.values()) {
+            if (!migration.over()) {
+                at = Math.min(
+                        at, Math.max(now + 1_000, migration.wakeAt() == 0 ? now + TICK_MICROS : migration.wakeAt()));
             }
         }
-        for (CellState p : parts) {
-            busy |= p.health.sick();
+        for (CellState state : cellStates) {
+            busy |= state.health.sick();
         }
-        at = busy ? Math.min(at, now + TICK) : at;
+        at = busy ? Math.min(at, now + TICK_MICROS) : at;
         if (at != Long.MAX_VALUE && (wakeAt == 0 || at < wakeAt)) {
             wakeAt = at;
             actions.timer(at);
@@ -555,9 +574,10 @@
     /** Where each unit with an order or in quarantine is by now, for the log and for tests. */
     public List<String> moves(long now) {
         List<String> all = new ArrayList<>();
-        moves.values()
-                .forEach(m -> all.add(m.plan.name() + " " + m.state() + " " + name(m.home()) + " "
-                        + Math.round(100 * m.part(now)) + "%"));
+        migrations
+                .values()
+                .forEach(migration -> all.add(migration.plan.name() + " " + migration.state() + " "
+                        + name(migration.home()) + " " + Math.round(100 * migration.part(now)) + "%"));
         return all;
     }
 }
--- a/src/test/java/org/cypressweir/sidecar/cell/CellsRandomWalkTest.java
+++ b/src/test/java/org/cypressweir/sidecar/cell/CellsRandomWalkTest.java
@@ -154,7 +154,7 @@
             for (int c = 0; c < 4; c++) {
                 int cell = c;
                 assertEquals(
-                        out.stream().filter(o -> o.ticket.cell() == cell).count(), rig.cells.inHand(c), "step " + n);
+                        out.stream().filter(o -> o.ticket.cell() == cell).count(), rig.cells.inFlight(c), "step " + n);
                 assertTrue(rig.cells.guests(c) <= 0.05 * CellsFixture.REQUESTS, "step " + n);
             }
             assertEquals(held.size(), rig.cells.held(), "step " + n);
@@ -174,7 +174,7 @@
             assertTrue(walk.held.isEmpty(), "held for ever");
             List.copyOf(walk.out).forEach(o -> walk.rig.done(o.ticket, true));
             for (int c = 0; c < 4; c++) {
-                assertEquals(0, walk.rig.cells.inHand(c));
+                assertEquals(0, walk.rig.cells.inFlight(c));
                 assertEquals(0, walk.rig.cells.guests(c));
             }
             // With a fence and writes always out a move may get nowhere.
--- a/src/test/java/org/cypressweir/sidecar/cell/CellsTest.java
+++ b/src/test/java/org/cypressweir/sidecar/cell/CellsTest.java
@@ -60,7 +60,7 @@
             }
         }
         for (int c = 0; c < 3; c++) {
-            assertEquals(0, rig.cells.inHand(c));
+            assertEquals(0, rig.cells.inFlight(c));
         }
     }
 
@@ -364,7 +364,7 @@
             assertEquals(0, keyed.cell());
             rig.done(keyed, true);
         }
-        assertEquals(2_000 * (1 - Cells.TRIAL), guests, 60);
+        assertEquals(2_000 * (1 - Cells.TRIAL_PART), guests, 60);
     }
 
     /** What made the cell sick is not carried to the next. */
