--- a/src/test/java/org/cypressweir/meshctl/BootstrapCommandTest.java
+++ b/src/test/java/org/cypressweir/meshctl/BootstrapCommandTest.java
@@ -37,7 +37,7 @@
                 mesh.restart(controller);
             }
             mesh.await("every controller has found its disk empty", () -> controllers.stream()
-                    .allMatch(name -> mesh.log(name).endsWith("store opened accepted=none\n")));
+                    .allMatch(name -> mesh.log(name).contains("replica is blank and learns the committed state")));
             for (String controller : controllers) {
                 assertThat(mesh.read(controller).status()).isEqualTo(503);
             }
