One recorded request and one set of proxy settings serve the tests that had copies

Cause: MetricsEndpointTest had a copy of ProxyFixture's client, and two new tests the same settings file.

Change: testkit.RecordedServerRequest, which ProxyFixture.Client extends; ProxyFixture.SETTINGS. Assertions are the same.

Measured: the three tests, ServiceRequestHandlerTest, PeerTimeoutTest and RequestHistoriesTest pass.

--- a/src/test/java/org/cypressweir/common/metrics/MetricsEndpointTest.java
+++ b/src/test/java/org/cypressweir/common/metrics/MetricsEndpointTest.java
@@ -2,78 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Map;
 import org.cypressweir.dataplane.http.server.Headers;
-import org.cypressweir.dataplane.http.server.ServerRequest;
 import org.cypressweir.dataplane.http.server.ServerResponse;
+import org.cypressweir.testkit.RecordedServerRequest;
 import org.junit.jupiter.api.Test;
 
 /** The page of metrics, and the answers to calls for it. */
 class MetricsEndpointTest {
 
-    private static final class Call implements ServerRequest {
-        private final String method;
-        private final String uri;
-        private ServerResponse response;
-
-        private Call(String method, String uri) {
-            this.method = method;
-            this.uri = uri;
-        }
-
-        @Override
-        public String method() {
-            return method;
-        }
-
-        @Override
-        public String uri() {
-            return uri;
-        }
-
-        @Override
-        public String host() {
-            return "h1";
-        }
-
-        @Override
-        public List<Map.Entry<String, String>> headers() {
-            return List.of();
-        }
-
-        @Override
-        public byte[] body() {
-            return new byte[0];
-        }
-
-        @Override
-        public long arrivedMicros() {
-            return 0;
-        }
-
-        @Override
-        public InetSocketAddress remote() {
-            return new InetSocketAddress("127.0.0.1", 1);
-        }
-
-        @Override
-        public boolean answer(ServerResponse answer) {
-            response = answer;
-            return true;
-        }
-
-        @Override
-        public void onDisconnect(Runnable task) {}
-
-        @Override
-        public boolean isOpen() {
-            return response == null;
-        }
-    }
-
     private static void collect(MetricsPage page) {
         page.counter("cypressweir_requests", "Requests.", 3, "service", "till", "status", "2xx");
         page.counter("cypressweir_requests", "Requests.", 1, "service", "a\"b\\c", "status", "5xx");
@@ -88,9 +25,9 @@
     }
 
     private static ServerResponse call(String method, String uri) {
-        Call call = new Call(method, uri);
+        RecordedServerRequest call = new RecordedServerRequest(method, uri);
         new MetricsEndpoint(MetricsEndpointTest::collect).handle(call);
-        return call.response;
+        return call.responses.get(0);
     }
 
     @Test
--- a/src/test/java/org/cypressweir/dataplane/proxy/ApplicationLifecycleHandlerTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ApplicationLifecycleHandlerTest.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.cypressweir.common.settings.NodeSettings;
 import org.cypressweir.controlplane.registry.ApplicationInstance;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -13,10 +12,6 @@
 /** What a proxy makes of the heartbeats of the instance beside it: late ones, doubled ones, and those of an end. */
 class ApplicationLifecycleHandlerTest {
 
-    private static final String SETTINGS = "{'localNode':{'nodeName':'p1','ipAddress':'10.0.0.1','zone':'z',"
-            + "'service':'till','application':'10.0.0.1:80'},'network':{'listenAddresses':"
-            + "{'controlPlane':'10.0.0.1:82'},'internalPortRange':[7640,7655],'seedNodes':['10.0.0.9:82'],"
-            + "'zones':{'z':'r'}},'platform':{'heartbeat':'1500ms'},'termTable':{'timingBounds':{}}}";
     private static final long HEARTBEAT_MICROS = 1_500_000;
 
     private long now = 1_000_000_000;
@@ -25,9 +20,7 @@
 
     @BeforeEach
     void start() {
-        NodeSettings settings = NodeSettings.read(SETTINGS.replace('\'', '"').getBytes(StandardCharsets.UTF_8))
-                .get();
-        handler = new ApplicationLifecycleHandler(() -> now, settings, 1, changes::add);
+        handler = new ApplicationLifecycleHandler(() -> now, ProxyFixture.SETTINGS, 1, changes::add);
     }
 
     private int call(String id, String call, String body) {
--- a/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
@@ -1,26 +1,35 @@
 package org.cypressweir.dataplane.proxy;
 
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cypressweir.common.diagnostics.RequestTrace;
+import org.cypressweir.common.settings.NodeSettings;
 import org.cypressweir.controlplane.configuration.RouteConfiguration;
 import org.cypressweir.controlplane.configuration.WeightedDestination;
-import org.cypressweir.dataplane.http.server.ServerRequest;
-import org.cypressweir.dataplane.http.server.ServerResponse;
 import org.cypressweir.dataplane.http.upstream.RequestOutcome;
 import org.cypressweir.dataplane.http.upstream.UpstreamLoad;
 import org.cypressweir.dataplane.http.upstream.UpstreamRequest;
+import org.cypressweir.testkit.RecordedServerRequest;
 
 /** A request handler with simulated time, clients and instances: the test completes each attempt when it wants. */
 final class ProxyFixture implements AttemptTransport {
 
     static final long LATENCY_TARGET_MICROS = 500_000;
     static final long TIMEOUT_MICROS = 2_000_000;
+    /** The settings of a proxy beside an instance of the service till. */
+    static final NodeSettings SETTINGS = NodeSettings.read(("{'localNode':{'nodeName':'p1','ipAddress':'10.0.0.1',"
+                            + "'zone':'z','service':'till','application':'10.0.0.1:80'},'network':{'listenAddresses':"
+                            + "{'controlPlane':'10.0.0.1:82'},'internalPortRange':[7640,7655],"
+                            + "'seedNodes':['10.0.0.9:82'],'zones':{'z':'r'}},'platform':{'heartbeat':'1500ms'},"
+                            + "'termTable':{'timingBounds':{}}}")
+                    .replace('\'', '"')
+                    .getBytes(StandardCharsets.UTF_8))
+            .get();
 
     /** One attempt that was handed to the transport. */
     static final class SentAttempt {
@@ -56,9 +65,10 @@
     }
 
     /** A client that waits for a response. */
-    static class Client implements ServerRequest {
-        final List<ServerResponse> responses = new ArrayList<>();
-        private Runnable whenGone;
+    static class Client extends RecordedServerRequest {
+        Client() {
+            super("POST", "/x");
+        }
 
         int status() {
             return responses.isEmpty() ? 0 : responses.get(0).status();
@@ -68,61 +78,6 @@
             return org.cypressweir.dataplane.http.server.Headers.first(
                     responses.get(0).headers(), "Retry-After");
         }
-
-        void disconnect() {
-            whenGone.run();
-        }
-
-        @Override
-        public String method() {
-            return "POST";
-        }
-
-        @Override
-        public String uri() {
-            return "/x";
-        }
-
-        @Override
-        public String host() {
-            return "a";
-        }
-
-        @Override
-        public List<Map.Entry<String, String>> headers() {
-            return List.of();
-        }
-
-        @Override
-        public byte[] body() {
-            return new byte[0];
-        }
-
-        @Override
-        public long arrivedMicros() {
-            return 0;
-        }
-
-        @Override
-        public InetSocketAddress remote() {
-            return null;
-        }
-
-        @Override
-        public boolean answer(ServerResponse answer) {
-            responses.add(answer);
-            return true;
-        }
-
-        @Override
-        public void onDisconnect(Runnable task) {
-            whenGone = task;
-        }
-
-        @Override
-        public boolean isOpen() {
-            return responses.isEmpty();
-        }
     }
 
     final List<SentAttempt> sent = new ArrayList<>();
--- a/src/test/java/org/cypressweir/dataplane/proxy/WeightedSplitTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/WeightedSplitTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.cypressweir.common.diagnostics.RequestTrace;
-import org.cypressweir.common.settings.NodeSettings;
 import org.cypressweir.controlplane.configuration.Configuration;
 import org.cypressweir.controlplane.configuration.ConfigurationChange;
 import org.cypressweir.controlplane.consensus.ProposalNumber;
@@ -26,11 +25,6 @@
     /** Three standard deviations of a share of a half, which is the widest. */
     private static final double TOLERANCE = 0.025;
 
-    private static final String SETTINGS = "{'localNode':{'nodeName':'p1','ipAddress':'10.0.0.1','zone':'z',"
-            + "'service':'till','application':'10.0.0.1:80'},'network':{'listenAddresses':"
-            + "{'controlPlane':'10.0.0.1:82'},'internalPortRange':[7640,7655],'seedNodes':['10.0.0.9:82'],"
-            + "'zones':{'z':'r'}},'platform':{'heartbeat':'1500ms'},'termTable':{'timingBounds':{}}}";
-
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final Map<String, Integer> attemptsByService = new HashMap<>();
     private final Map<String, String> serviceById = new HashMap<>();
@@ -53,9 +47,14 @@
     private ServiceHandlers handlers;
 
     private OutboundListener listener(String split) {
-        NodeSettings settings = NodeSettings.read(json(SETTINGS)).get();
         handlers = new ServiceHandlers(
-                channel.eventLoop(), () -> now, transport, () -> settings, List.of("z"), () -> 1, () -> {});
+                channel.eventLoop(),
+                () -> now,
+                transport,
+                () -> ProxyFixture.SETTINGS,
+                List.of("z"),
+                () -> 1,
+                () -> {});
         String service = "{'healthPath':'/health','maxConnections':32,'configVersion':'r1'}";
         Configuration configuration = Configuration.of(ConfigurationChange.read(
                         json("{'upsert':{'serviceTable':{'a':" + service + ",'b':" + service + "},'routeTable':{'r':"
