--- a/src/main/java/org/cypressweir/dataplane/proxy/ControllerClient.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ControllerClient.java
@@ -182,8 +182,11 @@
     }
 
     private void controllerSilent(String address) {
-        boolean wasLastActive = active.remove(address) && active.isEmpty();
-        if (wasLastActive) {
+        boolean wasActive = active.remove(address);
+        if (wasActive) {
+            LOG.info("Controller silent: address=" + address + " stillActive=" + active.size());
+        }
+        if (wasActive && active.isEmpty()) {
             // The voters may have changed: the seeds are tried as well.
             updateConnections();
         }
@@ -215,7 +218,9 @@
     @Override
     public void received(String address, PeerConnection connection, Map<String, Object> head, byte[] body) {
         long now = clock.getAsLong();
-        active.add(address);
+        if (active.add(address)) {
+            LOG.info("Controller active: address=" + address);
+        }
         ControllerMessage message = ControllerMessageCodec.decode(head, now);
         if (message instanceof ControllerMessage.VersionAnnouncement announcement) {
             apply(now, address, announcement);
--- a/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
@@ -281,6 +281,7 @@
         handlers.tenantHandlers().forEach((service, handler) -> metrics.addService(service, false, handler));
         handlers.internalHandlers().forEach((service, handler) -> metrics.addService(service, true, handler));
         metrics.addRejections(outboundListener.rejectionCounts());
+        metrics.addQuotas(quotas.usage(clock.getAsLong()));
         metrics.addUpstream(dispatcher.load(), peers.forwarder().inFlightCount());
         metrics.addControlPlane(
                 controllers.controllers(),
--- a/src/main/java/org/cypressweir/dataplane/proxy/ProxyMetrics.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ProxyMetrics.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.cypressweir.common.metrics.MetricsPage;
 import org.cypressweir.dataplane.http.upstream.UpstreamLoad;
+import org.cypressweir.dataplane.quota.QuotaShares.TenantUsage;
 import org.cypressweir.loadbalancing.LoadBalancer.Result;
 
 /** Puts a proxy's metrics on a page. Made for one page; used on the event loop. */
@@ -76,6 +77,31 @@
                 lowerCase(kind)));
     }
 
+    /** What the rate limits of tenants let through here. */
+    void addQuotas(Map<String, TenantUsage> usageByTenant) {
+        usageByTenant.forEach((tenant, usage) -> {
+            addQuotaRequests(tenant, "admitted", usage.admitted());
+            addQuotaRequests(tenant, "rejected", usage.rejected());
+            page.gauge(
+                    "cypressweir_quota_rate",
+                    "Requests per second of the tenant's limit that this proxy may admit.",
+                    usage.ratePerSecond(),
+                    "tenant",
+                    tenant);
+        });
+    }
+
+    private void addQuotaRequests(String tenant, String result, long count) {
+        page.counter(
+                "cypressweir_quota_requests",
+                "Requests of a tenant, by whether its rate limit admitted them.",
+                count,
+                "tenant",
+                tenant,
+                "result",
+                result);
+    }
+
     /** The application instance beside this proxy, and what this proxy has forwarded to others. */
     void addUpstream(UpstreamLoad load, int forwarded) {
         page.gauge("cypressweir_upstream_running", "Requests running at the instance here.", load.running());
--- a/src/main/java/org/cypressweir/dataplane/quota/QuotaShares.java
+++ b/src/main/java/org/cypressweir/dataplane/quota/QuotaShares.java
@@ -65,6 +65,15 @@
 
     private static final int INITIAL_PROXY_COUNT = 8;
 
+    /**
+     * What one proxy did with the requests of a tenant, for operators.
+     *
+     * @param ratePerSecond the part of the tenant's limit that the proxy may admit now
+     * @param admitted requests since the start
+     * @param rejected requests since the start
+     */
+    public record TenantUsage(double ratePerSecond, long admitted, long rejected) {}
+
     /** What is known of one tenant. */
     private static final class Account {
         /** Requests, decaying since {@link #countedAt}. */
@@ -79,6 +88,8 @@
         /** Over all proxies. */
         private double totalDemand;
 
+        private long admitted;
+        private long rejected;
         private double reportedDemand;
         /** What this proxy had reported when the total was received: both are of the same time. */
         private double reportedInTotal;
@@ -169,13 +180,16 @@
         account.rate = rate;
         account.burst = burst;
         if (rate <= 0) {
+            account.admitted++;
             return 0;
         }
         double refillRate = refill(nowMicros, account);
         if (account.tokens >= 1) {
             account.tokens--;
+            account.admitted++;
             return 0;
         }
+        account.rejected++;
         double missing = 1 - account.tokens;
         return Math.max(MIN_RETRY_MICROS, (long) (missing / Math.max(MIN_REFILL_RATE, refillRate) * MICROS_PER_SECOND));
     }
@@ -231,6 +245,16 @@
         return Math.min(1, Math.max(demand / Math.max(demand, account.totalDemand), minShare));
     }
 
+    /** What this proxy has admitted and rejected, by tenant. */
+    public Map<String, TenantUsage> usage(long nowMicros) {
+        Map<String, TenantUsage> usageByTenant = new TreeMap<>();
+        accounts.forEach((tenant, account) -> {
+            double ratePerSecond = account.rate * share(nowMicros, account, account.demandAt(nowMicros));
+            usageByTenant.put(tenant, new TenantUsage(ratePerSecond, account.admitted, account.rejected));
+        });
+        return usageByTenant;
+    }
+
     /** The demand of each tenant at this proxy; tenants without any are left out. */
     public Map<String, Double> demand(long nowMicros) {
         Map<String, Double> demandByTenant = new TreeMap<>();
