--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -25,8 +25,8 @@
 
 /**
  * Serves the proxies that are connected to this controller: takes in their registrations and their demand, passes on
- * the tokens of tenants' limits, and publishes endpoints, configuration versions and the demand over all proxies. Used by the event loop alone; times
- * are microseconds of the controller's clock.
+ * the tokens of tenants' limits, and publishes endpoints, configuration versions and the demand over all proxies. Used
+ * by the event loop alone; times are microseconds of the controller's clock.
  */
 final class UpdatePublisher {
 
--- a/src/test/java/org/cypressweir/dataplane/quota/QuotaSharesTest.java
+++ b/src/test/java/org/cypressweir/dataplane/quota/QuotaSharesTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What tenants get of the whole fleet, in simulated time: each proxy has a share of the limit and lends what is left. */
+/** What tenants get of the whole fleet, in simulated time: each proxy has a share of the limit and lends the rest. */
 class QuotaSharesTest {
 
     private static final int CONTROLLERS = 3;
