Soaks: a mesh of processes under load, signals, restarts and changes by seed

Cause: no test kept clients on open connections while signals, restarts and changes of all kinds overlap. Found on the way: SIGHUP before the program's handler is there ends a process (129), which the runtime decides; the soak signals processes that have reported their start.

--- /dev/null
+++ b/src/test/java/org/cypressweir/dataplane/proxy/MeshSoakTest.java
@@ -0,0 +1,46 @@
+package org.cypressweir.dataplane.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.cypressweir.testkit.MeshSoak;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Soaks of a mesh of processes, by seed. CI runs two short ones; more by hand: {@code -Dsoak.seeds=50}, with
+ * {@code -Dsoak.first}, {@code -Dsoak.seconds} and {@code -Dsoak.proxies}. Odd seeds have planned work only.
+ */
+class MeshSoakTest {
+
+    private static final long FIRST_SEED = Long.getLong("soak.first", 1);
+    private static final long SEEDS = Long.getLong("soak.seeds", 2);
+    private static final long SECONDS = Long.getLong("soak.seconds", 20);
+    private static final int PROXIES = Integer.getInteger("soak.proxies", 3);
+
+    @TempDir
+    Path folder;
+
+    static LongStream seeds() {
+        return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void nothingIsLostOrRunTwice(long seed) throws IOException, InterruptedException {
+        try (MeshSoak soak = new MeshSoak(folder, seed, PROXIES, seed % 2 == 1)) {
+            soak.run(SECONDS);
+            List<String> violations = soak.violations();
+            System.out.println("soak seed " + seed + ": " + soak.summary() + ", " + violations.size() + " violations");
+            if (!violations.isEmpty()) {
+                Files.writeString(Path.of("target", "soak-" + seed + ".log"), violations + "\n" + soak.story());
+            }
+            assertThat(violations).isEmpty();
+        }
+    }
+}
--- a/src/test/java/org/cypressweir/testkit/ApplicationStubs.java
+++ b/src/test/java/org/cypressweir/testkit/ApplicationStubs.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -97,6 +98,13 @@
         return runs.getOrDefault(id, new AtomicInteger()).get();
     }
 
+    /** How often each request was executed, by its id. */
+    public Map<String, Integer> runsById() {
+        Map<String, Integer> counts = new HashMap<>();
+        runs.forEach((id, count) -> counts.put(id, count.get()));
+        return counts;
+    }
+
     public int runs() {
         return runs.values().stream().mapToInt(AtomicInteger::get).sum();
     }
--- a/src/test/java/org/cypressweir/testkit/MeshFixture.java
+++ b/src/test/java/org/cypressweir/testkit/MeshFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.DirectoryNotEmptyException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -205,6 +206,16 @@
         processes.awaitExit(name);
     }
 
+    /** Whether a process runs and has reported its start. */
+    public boolean hasStarted(String name) {
+        return isAlive(name) && processes.hasStarted(name);
+    }
+
+    /** With which status a process has ended. */
+    public int exitStatus(String name) {
+        return processes.exitStatus(name);
+    }
+
     public boolean isAlive(String name) {
         return processes.isAlive(name);
     }
@@ -219,6 +230,11 @@
         return network.controlAddress(name);
     }
 
+    /** Where a proxy takes requests of clients. */
+    public InetSocketAddress outboundAddress(String proxy) {
+        return network.address(proxy, MeshNetwork.OUTBOUND_PORT);
+    }
+
     /** The relay that all connections pass; null without one. */
     public ConnectionRelay relay() {
         return network.relay();
--- a/src/test/java/org/cypressweir/testkit/MeshProcesses.java
+++ b/src/test/java/org/cypressweir/testkit/MeshProcesses.java
@@ -73,7 +73,8 @@
         return processes.keySet().stream().allMatch(name -> !isAlive(name) || hasStarted(name));
     }
 
-    private boolean hasStarted(String name) {
+    /** Whether the process that was started last under this name has reported its start. */
+    boolean hasStarted(String name) {
         return log(name).indexOf(STARTED, logLengthAtStart.get(name)) >= 0;
     }
 
@@ -89,6 +90,11 @@
         return processes.get(name).isAlive();
     }
 
+    /** With which status a process has ended. */
+    int exitStatus(String name) {
+        return processes.get(name).exitValue();
+    }
+
     /** Kills a process; returns when it has ended. */
     void kill(String name) throws InterruptedException {
         processes.get(name).destroyForcibly();
