The stub server takes its script before it shows a request to the test

Cause: UpgradeTest.noRequestIsLostWhenOneProcessFollowsAnother failed now and then. The stub added a request to the queue and read its script after that; the test, which had taken the request, had set the next script meanwhile, so the held request was answered at once and its connection was closed. The sidecar's own count in a failed run says so: book success 1, in flight 0. Change: PeerStub reads the script first. The test is unchanged.

--- a/src/test/java/org/cypressweir/testkit/PeerStub.java
+++ b/src/test/java/org/cypressweir/testkit/PeerStub.java
@@ -123,8 +123,10 @@
             InputStream in = socket.getInputStream();
             for (RawHttpClient.Message m; (m = RawHttpClient.read(in)) != null; ) {
                 Seen next = new Seen(m, socket);
+                // Before the test can see the request and set the script for the next one.
+                Script current = script;
                 seen.add(next);
-                script.on(next);
+                current.on(next);
             }
         } catch (IOException e) {
             // The peer hung up, or asked nothing for long, which a test may want.
