--- a/src/test/java/org/cypressweir/testkit/ApplicationStubs.java
+++ b/src/test/java/org/cypressweir/testkit/ApplicationStubs.java
@@ -35,7 +35,9 @@
         /** Executes it and closes the connection in the middle of the response. */
         TRUNCATES_RESPONSE,
         /** Executes it and never responds. */
-        NEVER_RESPONDS
+        NEVER_RESPONDS,
+        /** Executes it and responds with an error. */
+        FAILS
     }
 
     public static final String ID = "Cypressweir-Attempt-Id";
@@ -60,6 +62,7 @@
     private final String zone;
     private final int slots;
     private volatile String instance;
+    private volatile String version = "r1";
     private volatile Behavior behavior = Behavior.RESPONDS;
     private volatile int responseDelayMillis;
     private volatile boolean draining;
@@ -129,6 +132,12 @@
         sendHeartbeat();
     }
 
+    /** Starts another incarnation with software of another version. */
+    public void startIncarnation(String nextInstance, String nextVersion) throws IOException {
+        version = nextVersion;
+        startIncarnation(nextInstance);
+    }
+
     private void sendHeartbeatIfPossible() {
         try {
             if (!deregistered) {
@@ -144,7 +153,8 @@
                 "heartbeat",
                 "{\"address\":\"" + listening.getInetAddress().getHostAddress() + ":"
                         + listening.getLocalPort() + "\",\"nodeInfo\":{\"service\":\"" + service
-                        + "\",\"configVersion\":\"r1\",\"zone\":\"" + zone + "\",\"capacitySlots\":" + slots
+                        + "\",\"configVersion\":\"" + version + "\",\"zone\":\"" + zone + "\",\"capacitySlots\":"
+                        + slots
                         + "},\"operStatus\":{\"operState\":\"" + (draining ? "draining" : "serving")
                         + "\",\"callSequence\":" + ++sequence + ",\"warmupLeft\":\"0ms\"}}");
     }
@@ -209,6 +219,7 @@
         runs.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
         switch (behavior) {
             case NEVER_RESPONDS -> {}
+            case FAILS -> reply(socket, id, "500 Internal Server Error", "Instance: " + instance + "\r\n", "");
             case TRUNCATES_RESPONSE -> {
                 write(socket, "HTTP/1.1 200 OK\r\n" + ID + ": " + id + "\r\nContent-Length: 10\r\n\r\nab");
                 return false;
--- a/src/test/java/org/cypressweir/testkit/MeshClient.java
+++ b/src/test/java/org/cypressweir/testkit/MeshClient.java
@@ -44,6 +44,14 @@
         return callFollowingRedirects(controller, "GET", READ_PATH, "");
     }
 
+    RawHttpClient.Message beginRollout(String controller, String json) throws IOException {
+        return callFollowingRedirects(controller, "POST", "/cypressweir/rollouts/begin", withDoubleQuotes(json));
+    }
+
+    RawHttpClient.Message readRollout(String controller, String service) throws IOException {
+        return callFollowingRedirects(controller, "GET", "/cypressweir/rollouts/" + service + "/read", "");
+    }
+
     RawHttpClient.Message readWithoutRedirect(String controller) throws IOException {
         return call(controller, MeshNetwork.CONTROL_PORT, "GET", READ_PATH, "", "");
     }
--- a/src/test/java/org/cypressweir/testkit/MeshFixture.java
+++ b/src/test/java/org/cypressweir/testkit/MeshFixture.java
@@ -318,6 +318,16 @@
         return client.read(controller);
     }
 
+    /** Orders a rollout, with single quotes for double ones. */
+    public RawHttpClient.Message beginRollout(String controller, String json) throws IOException {
+        return client.beginRollout(controller, json);
+    }
+
+    /** Reads how far the rollout of a service is. */
+    public RawHttpClient.Message readRollout(String controller, String service) throws IOException {
+        return client.readRollout(controller, service);
+    }
+
     /** The response of that controller itself to a read. */
     public RawHttpClient.Message readWithoutRedirect(String controller) throws IOException {
         return client.readWithoutRedirect(controller);
