Rollouts: ordered, kept through losses, judged by pooled samples, completed or stepped back

Change: a rollout is an item of the replicated configuration whose versions are its steps; controllers with a vote decide on the next one (RolloutProgress, RolloutJudge: binomial tests on samples that all proxies report) and the first that is committed counts. Proxies divide a service's instances by version (RolloutRouting), give the new one its share on as few instances as the share needs, and stop by themselves where it fails. Heartbeats' versions travel in registrations. Operators cannot submit rolloutTable.

--- a/src/main/java/org/cypressweir/common/transport/ApiCall.java
+++ b/src/main/java/org/cypressweir/common/transport/ApiCall.java
@@ -12,6 +12,9 @@
     DEREGISTER("POST", "/cypressweir/instances/*/deregister"),
     MODIFY("POST", "/cypressweir/config/modify"),
     READ("GET", "/cypressweir/config/read"),
+    /** Moves a service's requests to a new version. */
+    ROLLOUT_BEGIN("POST", "/cypressweir/rollouts/begin"),
+    ROLLOUT_READ("GET", "/cypressweir/rollouts/*/read"),
     /** Starts a new cluster of controllers on empty stores. */
     BOOTSTRAP("POST", "/cypressweir/copies/begin"),
     STATE("GET", "/cypressweir/state"),
--- a/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationChange.java
+++ b/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationChange.java
@@ -33,6 +33,11 @@
         return items;
     }
 
+    /** A change that a controller makes itself. */
+    public static ConfigurationChange of(Item item) {
+        return new ConfigurationChange(List.of(item));
+    }
+
     /** Reads the body of a call. */
     public static Either<Rejection, ConfigurationChange> read(byte[] body) {
         try {
--- a/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationChangeReader.java
+++ b/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationChangeReader.java
@@ -36,7 +36,7 @@
             String path = UPSERT + "." + table.getKey();
             RejectionCause cause = new RejectionCause.UpsertedTable(table.getKey());
             ItemType type = ItemType.of(table.getKey());
-            if (type == null) {
+            if (type == null || !type.isSubmitted()) {
                 throw new InvalidContentException(path + " is not a known table", cause);
             }
             Map<String, Object> content = object(path, cause, table.getValue());
@@ -73,7 +73,7 @@
             String path = WITHDRAW + "." + table.getKey();
             RejectionCause cause = new RejectionCause.WithdrawnTable(table.getKey());
             ItemType type = ItemType.of(table.getKey());
-            if (type == null || type == ItemType.LIMITS) {
+            if (type == null || type == ItemType.LIMITS || !type.isSubmitted()) {
                 throw new InvalidContentException(path + " is not a table that items can be withdrawn from", cause);
             }
             List<?> withdrawals = list(path, cause, table.getValue());
--- a/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationValidator.java
+++ b/src/main/java/org/cypressweir/controlplane/configuration/ConfigurationValidator.java
@@ -30,6 +30,7 @@
             case TENANTS -> TenantConfiguration.of(item);
             case SERVICES -> ServiceConfiguration.of(item);
             case LIMITS -> ClientLimits.of(item);
+            case ROLLOUTS -> Rollout.of(item);
         };
     }
 
--- a/src/main/java/org/cypressweir/controlplane/configuration/ItemType.java
+++ b/src/main/java/org/cypressweir/controlplane/configuration/ItemType.java
@@ -5,7 +5,9 @@
     ROUTES("routeTable"),
     TENANTS("tenantTable"),
     SERVICES("serviceTable"),
-    LIMITS("limits");
+    LIMITS("limits"),
+    /** New versions of services on their way; only the controllers write them. */
+    ROLLOUTS("rolloutTable");
 
     private final String wireName;
 
@@ -18,6 +20,11 @@
         return wireName;
     }
 
+    /** Whether operators submit items of this type in configuration changes. */
+    public boolean isSubmitted() {
+        return this != ROLLOUTS;
+    }
+
     /** The type of that name, or null. */
     public static ItemType of(Object wireName) {
         for (ItemType type : values()) {
--- a/src/main/java/org/cypressweir/controlplane/controller/Controller.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/Controller.java
@@ -10,6 +10,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -45,6 +46,7 @@
     private static final int TICK_MILLIS = 50;
     private static final int TICKS_PER_DEMAND_UPDATE = 4;
     private static final int TICKS_PER_SETTINGS_CHECK = 20;
+    private static final int TICKS_PER_ROLLOUT_STEP = 4;
     /** Longest wait for the handover after SIGTERM. */
     private static final int SHUTDOWN_MILLIS = 1_500;
 
@@ -64,6 +66,7 @@
     private final ControllerIdentity identity;
     private final ControllerStatistics statistics = new ControllerStatistics();
     private final ReplicaStateLog stateLog = new ReplicaStateLog();
+    private final RolloutDriver rollouts;
     private final UpdatePublisher publisher;
     private final ControllerPeers peers;
     /** Null as long as the store is not open. */
@@ -80,8 +83,14 @@
         String peerAddress = settings.peerAddress(settings.ip());
         long incarnation = System.currentTimeMillis() * MICROS_PER_MILLI;
         identity = new ControllerIdentity(settings.name(), settings.controlAddress(), peerAddress, incarnation);
+        rollouts = new RolloutDriver(clock, () -> driver);
         publisher = new UpdatePublisher(
-                clock, incarnation, settings.controlAddress(), this::confirmedAge, settings.number("quotaSlack", 0));
+                clock,
+                incarnation,
+                settings.controlAddress(),
+                this::confirmedAge,
+                settings.number("quotaSlack", 0),
+                rollouts);
         peers = new ControllerPeers(transport, clock, peerAddress, this::hello);
         seeds = List.copyOf(settings.seedPeerAddresses());
     }
@@ -168,7 +177,10 @@
                 eventLoop,
                 clock,
                 peers::send,
-                commit -> publisher.committed(commit.number(), commit.configuration(), commit.voters()),
+                commit -> {
+                    publisher.committed(commit.number(), commit.configuration(), commit.voters());
+                    rollouts.committed(commit.configuration());
+                },
                 statistics);
         driver = opening;
         LOG.info("store opened accepted="
@@ -193,6 +205,11 @@
             stateLog.update(driver.replica(), clock.getAsLong());
             checkHandover();
             publisher.tick();
+            if (ticks % TICKS_PER_ROLLOUT_STEP == 0
+                    && driver.replica().isVoter()
+                    && driver.replica().inContact(clock.getAsLong())) {
+                rollouts.tick(Set.copyOf(publisher.registry().names()));
+            }
             if (ticks % TICKS_PER_DEMAND_UPDATE == 0) {
                 publisher.publishDemand();
             }
--- a/src/main/java/org/cypressweir/controlplane/controller/ControllerMessages.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/ControllerMessages.java
@@ -7,6 +7,7 @@
 import org.cypressweir.common.util.Json;
 import org.cypressweir.controlplane.consensus.ProposalNumber;
 import org.cypressweir.controlplane.registry.ProxyRegistration;
+import org.cypressweir.controlplane.registry.RolloutReport;
 
 /**
  * Encodes a controller's messages to proxies and other controllers, and decodes those of proxies. Stateless.
@@ -63,6 +64,9 @@
     private static final String COMPLETE = "whole";
     private static final String ENABLED = "on";
 
+    private static final String ROLLOUT_REPORT = "rollout.report";
+    private static final String REPORT = "report";
+
     private static final String TOKEN_SURPLUS = "quota.surplus";
     private static final String TOKEN_REQUEST = "quota.request";
     private static final String TOKEN_RESPONSE = "quota.response";
@@ -125,6 +129,8 @@
             case DEMAND_REPORT -> new ProxyMessage.DemandReport(
                     Json.object(message, DEMAND), Json.flag(message, COMPLETE));
             case DEMAND_SUBSCRIPTION -> new ProxyMessage.DemandSubscription(Json.flag(message, ENABLED));
+            case ROLLOUT_REPORT -> new ProxyMessage.RolloutObserved(
+                    Json.longValue(message, INCARNATION, 0), RolloutReport.of(Json.object(message, REPORT)));
             case TOKEN_SURPLUS -> new ProxyMessage.TokenSurplus(counts(Json.object(message, TOKENS)));
             case TOKEN_REQUEST -> new ProxyMessage.TokenRequest(
                     JsonCodec.text(message, TENANT), (int) Json.longValue(message, COUNT, 0));
--- a/src/main/java/org/cypressweir/controlplane/controller/OperatorApiHandler.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/OperatorApiHandler.java
@@ -45,6 +45,7 @@
     private final Supplier<Option<String>> redirectTarget;
     private final LongSupplier clock;
     private final ControllerStatistics statistics;
+    private final RolloutCalls rollouts;
 
     /**
      * @param driver gives null as long as the store is not open
@@ -61,6 +62,7 @@
         this.redirectTarget = redirectTarget;
         this.clock = clock;
         this.statistics = statistics;
+        rollouts = new RolloutCalls(driver, clock);
     }
 
     @Override
@@ -82,6 +84,8 @@
         switch (call) {
             case MODIFY -> redirectOr(request, this::modify);
             case READ -> redirectOr(request, this::read);
+            case ROLLOUT_BEGIN -> redirectOr(request, rollouts::begin);
+            case ROLLOUT_READ -> redirectOr(request, rollouts::read);
             case BOOTSTRAP -> bootstrap(request);
             case READINESS -> request.answer(ServerResponse.of(OK));
             default -> request.answer(error(ErrorKind.NO_CALL, "applications call the proxy beside them"));
@@ -194,11 +198,11 @@
         return error(kind, rejection.reason());
     }
 
-    private static ServerResponse json(int status, Map<String, Object> body) {
+    static ServerResponse json(int status, Map<String, Object> body) {
         return ServerResponse.json(status, JsonCodec.bytes(body));
     }
 
-    private static ServerResponse error(ErrorKind kind, String reason) {
+    static ServerResponse error(ErrorKind kind, String reason) {
         ServerResponse response =
                 json(kind.status(), JsonCodec.map("error", kind.name().toLowerCase(Locale.ROOT), "reason", reason));
         return kind.hasRetryAfter() ? response.withHeader("Retry-After", RETRY_AFTER_SECONDS) : response;
--- a/src/main/java/org/cypressweir/controlplane/controller/ProxyMessage.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/ProxyMessage.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import org.cypressweir.controlplane.consensus.ProposalNumber;
 import org.cypressweir.controlplane.registry.ProxyRegistration;
+import org.cypressweir.controlplane.registry.RolloutReport;
 
 /** A message from a proxy to its controller; {@link ControllerMessages#decode} reads it. */
 sealed interface ProxyMessage {
@@ -47,6 +48,13 @@
     /** The proxy starts or ends its subscription to the demand over all proxies. */
     record DemandSubscription(boolean enabled) implements ProxyMessage {}
 
+    /**
+     * What the proxy has seen of a rollout.
+     *
+     * @param incarnation later for each run of the proxy's process
+     */
+    record RolloutObserved(long incarnation, RolloutReport report) implements ProxyMessage {}
+
     /** Tokens of tenants' rate limits that the proxy does not need. */
     record TokenSurplus(Map<String, Integer> tokensByTenant) implements ProxyMessage {}
 
--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -70,6 +70,7 @@
     private final TokenPool tokenPool;
     private final ProxyCounter proxyCounter = new ProxyCounter();
     private int announcedProxyCount;
+    private final RolloutDriver rollouts;
     private final Map<PeerConnection, Subscriber> subscribers = new LinkedHashMap<>();
     private List<String> voterAddresses = List.of();
     private long demandPublications;
@@ -86,9 +87,16 @@
      * @param controlAddress where this controller is asked by operators
      * @param confirmedAge how long ago the published configuration was known to be the newest; below 0: never
      * @param quotaSlack requests beyond a tenant's limit that are tolerated within a window
+     * @param rollouts takes what proxies report of rollouts
      */
     UpdatePublisher(
-            LongSupplier clock, long incarnation, String controlAddress, LongSupplier confirmedAge, double quotaSlack) {
+            LongSupplier clock,
+            long incarnation,
+            String controlAddress,
+            LongSupplier confirmedAge,
+            double quotaSlack,
+            RolloutDriver rollouts) {
+        this.rollouts = rollouts;
         tokenPool = new TokenPool(quotaSlack);
         this.clock = clock;
         this.incarnation = incarnation;
@@ -169,6 +177,8 @@
             sendConfiguration(connection, request.version());
         } else if (message instanceof ProxyMessage.DemandSubscription subscription) {
             subscribeToDemand(connection, subscriber, subscription.enabled());
+        } else if (message instanceof ProxyMessage.RolloutObserved observed) {
+            rollouts.reported(subscriber.name, observed.incarnation(), observed.report());
         } else if (message instanceof ProxyMessage.TokenSurplus surplus) {
             tokenPool.add(surplus.tokensByTenant());
         } else if (message instanceof ProxyMessage.TokenRequest request) {
--- a/src/main/java/org/cypressweir/controlplane/registry/ApplicationInstance.java
+++ b/src/main/java/org/cypressweir/controlplane/registry/ApplicationInstance.java
@@ -10,8 +10,10 @@
  * @param slots how many requests it takes at the same time
  * @param draining whether it wants no new requests
  * @param warmAt when its warm-up ends, in microseconds of the local clock; 0: it ended long ago
+ * @param version of its software; empty where it is not known
  */
-public record ApplicationInstance(String id, String service, String address, int slots, boolean draining, long warmAt) {
+public record ApplicationInstance(
+        String id, String service, String address, int slots, boolean draining, long warmAt, String version) {
 
     // Field names are fixed: other builds read them.
     private static final String ID = "id";
@@ -20,10 +22,16 @@
     private static final String SLOTS = "slots";
     private static final String DRAINING = "draining";
     private static final String WARM_UP_LEFT = "warm";
+    private static final String VERSION = "version";
+
+    /** An instance whose version is not known. */
+    public ApplicationInstance(String id, String service, String address, int slots, boolean draining, long warmAt) {
+        this(id, service, address, slots, draining, warmAt, "");
+    }
 
     /** Encodes it for another process, which has another clock: times are sent as what is left of them. */
     public Map<String, Object> toMap(long nowMicros) {
-        return JsonCodec.map(
+        Map<String, Object> map = JsonCodec.map(
                 ID,
                 id,
                 SERVICE,
@@ -36,6 +44,10 @@
                 draining,
                 WARM_UP_LEFT,
                 Math.max(0, warmAt - nowMicros));
+        if (!version.isEmpty()) {
+            map.put(VERSION, version);
+        }
+        return map;
     }
 
     /** Decodes an instance; null where there is none. */
@@ -51,6 +63,7 @@
                 JsonCodec.text(map, ADDRESS),
                 (int) Json.longValue(map, SLOTS, 1),
                 Json.flag(map, DRAINING),
-                warmUpLeft == 0 ? 0 : nowMicros + warmUpLeft);
+                warmUpLeft == 0 ? 0 : nowMicros + warmUpLeft,
+                JsonCodec.text(map, VERSION));
     }
 }
--- /dev/null
+++ b/src/main/java/org/cypressweir/controlplane/registry/RolloutReport.java
@@ -0,0 +1,57 @@
+package org.cypressweir.controlplane.registry;
+
+import java.util.Map;
+import org.cypressweir.common.transport.JsonCodec;
+import org.cypressweir.common.util.Json;
+
+/**
+ * What one proxy has seen of a rollout since it learned of it. Reports are cumulative: the latest one of a proxy's run
+ * replaces those before, so that none counts twice however often it comes.
+ *
+ * @param orderVersion the item version of the rollout's first step
+ * @param seenVersion the item version that the proxy acts by
+ * @param oldInFlight requests in flight at instances of other versions than the new one
+ */
+public record RolloutReport(
+        String service,
+        String targetVersion,
+        long seenVersion,
+        long oldInFlight,
+        VersionSamples old,
+        VersionSamples target) {
+
+    private static final String SERVICE = "service";
+    private static final String TARGET_VERSION = "targetVersion";
+    private static final String SEEN_VERSION = "seen";
+    private static final String OLD_IN_FLIGHT = "oldInFlight";
+    private static final String OLD = "old";
+    private static final String TARGET = "target";
+
+    /** Encodes it for another process. */
+    public Map<String, Object> toMap() {
+        return JsonCodec.map(
+                SERVICE,
+                service,
+                TARGET_VERSION,
+                targetVersion,
+                SEEN_VERSION,
+                seenVersion,
+                OLD_IN_FLIGHT,
+                oldInFlight,
+                OLD,
+                old.toMap(),
+                TARGET,
+                target.toMap());
+    }
+
+    /** Reads what {@link #toMap} made. */
+    public static RolloutReport of(Map<?, ?> map) {
+        return new RolloutReport(
+                JsonCodec.text(map, SERVICE),
+                JsonCodec.text(map, TARGET_VERSION),
+                Json.longValue(map, SEEN_VERSION, 0),
+                Json.longValue(map, OLD_IN_FLIGHT, 0),
+                VersionSamples.of(Json.object(map, OLD)),
+                VersionSamples.of(Json.object(map, TARGET)));
+    }
+}
--- a/src/main/java/org/cypressweir/dataplane/proxy/ApplicationLifecycleHandler.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ApplicationLifecycleHandler.java
@@ -168,7 +168,8 @@
                 JsonCodec.text(heartbeat, "address"),
                 (int) Math.max(1, Json.longValue(nodeInfo, "capacitySlots", 1)),
                 wasDraining || JsonCodec.text(operStatus, "operState").equals("draining"),
-                isKnown ? instance.warmAt() : warmAt(operStatus));
+                isKnown ? instance.warmAt() : warmAt(operStatus),
+                JsonCodec.text(nodeInfo, "configVersion"));
     }
 
     /** When the slow start of a new instance ends; 0 where it has none. */
@@ -189,7 +190,8 @@
             return;
         }
         if (!isKnown) {
-            LOG.info("Application instance registered: id=" + next.id() + " service=" + next.service());
+            LOG.info("Application instance registered: id=" + next.id() + " service=" + next.service() + " version="
+                    + next.version());
         } else if (next.draining()) {
             LOG.info("Application instance draining: id=" + next.id());
         }
--- a/src/main/java/org/cypressweir/dataplane/proxy/AttemptDispatcher.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/AttemptDispatcher.java
@@ -29,6 +29,7 @@
     private final SubsetLoadBalancer loadBalancer;
     private final InFlightRequests inFlight;
     private final RequestTimers timers;
+    private final AttemptObserver observer;
 
     AttemptDispatcher(
             EventLoop loop,
@@ -36,7 +37,9 @@
             AttemptTransport transport,
             SubsetLoadBalancer loadBalancer,
             InFlightRequests inFlight,
-            RequestTimers timers) {
+            RequestTimers timers,
+            AttemptObserver observer) {
+        this.observer = observer;
         this.loop = loop;
         this.clock = clock;
         this.transport = transport;
@@ -123,6 +126,7 @@
     private void reportOutcome(
             long now, ProxiedRequest request, int index, ProxiedRequest.Attempt attempt, AttemptResult attemptResult) {
         Result result = AttemptReports.result(attemptResult.outcome());
+        observer.attemptEnded(request.route.name(), result, now - attempt.sentAt);
         long endpointId = attempt.endpoint == null ? 0 : attempt.endpoint.id();
         loadBalancer.outcome(
                 now,
--- a/src/main/java/org/cypressweir/dataplane/proxy/ControllerClient.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ControllerClient.java
@@ -16,6 +16,7 @@
 import org.cypressweir.controlplane.distribution.ItemChunks;
 import org.cypressweir.controlplane.registry.EndpointDirectory;
 import org.cypressweir.controlplane.registry.ProxyRegistration;
+import org.cypressweir.controlplane.registry.RolloutReport;
 import org.jboss.logging.Logger;
 
 /**
@@ -130,6 +131,13 @@
         }
     }
 
+    /** Sends what was seen of a rollout to all controllers. */
+    void publishRollout(RolloutReport report) {
+        long incarnation = registration.get().incarnation();
+        byte[] message = JsonCodec.bytes(ControllerMessageCodec.rolloutReport(incarnation, report));
+        forEachConnection(connection -> connection.sendEncoded(message));
+    }
+
     /** Sends how many proxies this one has seen to all controllers. */
     void publishProxyCount() {
         Map<String, Object> message = ControllerMessageCodec.proxyCount(quotas.seenProxies());
--- a/src/main/java/org/cypressweir/dataplane/proxy/ControllerMessageCodec.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ControllerMessageCodec.java
@@ -8,6 +8,7 @@
 import org.cypressweir.common.util.Json;
 import org.cypressweir.controlplane.consensus.ProposalNumber;
 import org.cypressweir.controlplane.registry.ProxyRegistration;
+import org.cypressweir.controlplane.registry.RolloutReport;
 
 /**
  * Writes what a proxy sends to controllers and reads what it receives from them.
@@ -27,6 +28,8 @@
     private static final String VERSION_ANNOUNCEMENT = "stamp";
     private static final String ENDPOINT_UPDATE = "roster";
     private static final String CONFIGURATION_CHUNK = "items";
+    private static final String ROLLOUT_REPORT = "rollout.report";
+    private static final String REPORT = "report";
     private static final String TOKEN_SURPLUS = "quota.surplus";
     private static final String TOKEN_REQUEST = "quota.request";
     private static final String TOKEN_RESPONSE = "quota.response";
@@ -79,6 +82,11 @@
         return JsonCodec.map(KIND, DEMAND, DEMAND_BY_TENANT, demandByTenant, COMPLETE, isComplete);
     }
 
+    /** @param incarnation of this process, later for each */
+    static Map<String, Object> rolloutReport(long incarnation, RolloutReport report) {
+        return JsonCodec.map(KIND, ROLLOUT_REPORT, INCARNATION, incarnation, REPORT, report.toMap());
+    }
+
     /** Tokens of tenants' limits that are not needed here. */
     static Map<String, Object> tokenSurplus(Map<String, Integer> tokensByTenant) {
         return JsonCodec.map(KIND, TOKEN_SURPLUS, TOKENS, tokensByTenant);
--- a/src/main/java/org/cypressweir/dataplane/proxy/EndpointLists.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/EndpointLists.java
@@ -22,6 +22,7 @@
     private final Supplier<ProxyRegistration> ownRegistration;
     private final PeerConnections peers;
     private final ServiceHandlers handlers;
+    private final RolloutRouting rollouts;
     private boolean isStale = true;
 
     /** @param ownRegistration replaces what the directory says of this proxy, which may be older */
@@ -29,7 +30,9 @@
             EndpointDirectory directory,
             Supplier<ProxyRegistration> ownRegistration,
             PeerConnections peers,
-            ServiceHandlers handlers) {
+            ServiceHandlers handlers,
+            RolloutRouting rollouts) {
+        this.rollouts = rollouts;
         this.directory = directory;
         this.ownRegistration = ownRegistration;
         this.peers = peers;
@@ -62,6 +65,7 @@
             }
             add(registration, endpoints, warmAt);
         }
+        rollouts.limitTargets(endpoints);
         peers.updatePeers(peerAddresses);
         handlers.updateEndpoints(endpoints, warmAt);
     }
@@ -71,7 +75,10 @@
         if (instance == null) {
             return;
         }
-        String service = instance.service();
+        String service = rollouts.groupOf(instance.service(), instance.version());
+        if (service == null) {
+            return;
+        }
         handlers.handler(service, false);
         handlers.handler(service, true);
         if (registration.acceptsRequests() && peers.reaches(registration)) {
--- a/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
@@ -44,12 +44,14 @@
     private final Supplier<String> ownService;
     private final QuotaGate quotas;
     private final ServiceHandlers handlers;
+    private final RolloutRouting rollouts;
     private final RequestTrace trace;
     private final Map<String, Long> rejectionCounts = new HashMap<>();
     private long lastNumber;
 
     /**
      * @param ownService the service of the application on this machine; may be null
+     * @param rollouts chooses the version of the service
      * @param trace where ended requests are recorded
      */
     OutboundListener(
@@ -58,7 +60,9 @@
             Supplier<String> ownService,
             QuotaGate quotas,
             ServiceHandlers handlers,
+            RolloutRouting rollouts,
             RequestTrace trace) {
+        this.rollouts = rollouts;
         this.clock = clock;
         this.routingTable = routingTable;
         this.ownService = ownService;
@@ -112,7 +116,7 @@
         long arrivedAt = call.arrivedMicros();
         long remaining = Math.min(timeRemainingMillis(call) * 1000, route.timeoutMicros());
         long deadline = arrivedAt + remaining - Math.min(MAX_NETWORK_MARGIN_MICROS, remaining / NETWORK_MARGIN_DIVISOR);
-        handlers.handler(service, isInternal)
+        handlers.handler(rollouts.choose(service, id, this::hasEndpoints), isInternal)
                 .handle(new ProxiedRequest(
                         Long.toString(++lastNumber),
                         call,
@@ -201,8 +205,11 @@
     }
 
     private boolean isAvailable(WeightedDestination destination) {
-        return destination.weight() > 0
-                && handlers.handler(destination.service(), false).hasEndpoints();
+        return destination.weight() > 0 && rollouts.isAvailable(destination.service(), this::hasEndpoints);
+    }
+
+    private boolean hasEndpoints(String service) {
+        return handlers.handler(service, false).hasEndpoints();
     }
 
     private void reject(ServerRequest call, ErrorKind error, long retryAfterMicros) {
--- a/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/Proxy.java
@@ -44,6 +44,7 @@
     private static final Logger LOG = Logger.getLogger(Proxy.class);
     private static final RequestLimits CONTROL_LIMITS = new RequestLimits(16 * 1024, 64 * 1024, 5_000, 60_000);
     private static final int TICKS_PER_TOKEN_SURPLUS = 4;
+    private static final int TICKS_PER_ROLLOUT_REPORT = 6;
     private static final int TICKS_PER_DEMAND_PUBLICATION = 20;
     private static final int TICKS_PER_SETTINGS_CHECK = 20;
     /** Repeating the registration repairs whatever a controller has missed. */
@@ -67,6 +68,7 @@
     private final ConfigurationSubscriber configuration = new ConfigurationSubscriber();
     private final ReadinessGate readinessGate = new ReadinessGate();
     private final QuotaExchange quotas;
+    private final RolloutRouting rollouts = new RolloutRouting();
     private final RequestTrace requestTrace = new RequestTrace(clock, RequestTrace.DEFAULT_CAPACITY);
     private final ApplicationLifecycleHandler application;
     private final UpstreamDispatcher dispatcher;
@@ -93,14 +95,20 @@
         requestReceiver = new PeerRequestReceiver(clock, dispatcher, application::registration);
         peers = newPeerConnections(incarnation);
         handlers = newServiceHandlers();
-        endpointLists = new EndpointLists(directory, application::registration, peers, handlers);
+        endpointLists = new EndpointLists(directory, application::registration, peers, handlers, rollouts);
         routingTables = new RoutingTableLoader(background, this::routingTableChanged);
         dispatcherConfigurator = new DispatcherConfigurator(dispatcher, application, routingTables, this::settings);
         readinessEndpoint = new ReadinessEndpoint(clock, this::settings, readinessGate, routingTables, handlers);
         quotas = new QuotaExchange(clock, settings.name(), this::controllers, new SplittableRandom(incarnation));
         controllers = newControllerClient(background);
         outboundListener = new OutboundListener(
-                clock, routingTables::current, () -> this.settings.service(), quotas.gate(), handlers, requestTrace);
+                clock,
+                routingTables::current,
+                () -> this.settings.service(),
+                quotas.gate(),
+                handlers,
+                rollouts,
+                requestTrace);
     }
 
     private PeerConnections newPeerConnections(long incarnation) {
@@ -123,7 +131,8 @@
                 this::settings,
                 List.copyOf(settings.zones().keySet()),
                 directory::size,
-                this::endpointsChanged);
+                this::endpointsChanged,
+                rollouts::observer);
     }
 
     private ControllerClient newControllerClient(BackgroundTask background) {
@@ -220,6 +229,8 @@
 
     private void routingTableChanged() {
         quotas.updateLimits(routingTables.current().configuration());
+        rollouts.update(routingTables.current().configuration());
+        endpointsChanged();
         dispatcherConfigurator.limitConnections();
     }
 
@@ -251,11 +262,16 @@
         tasks.everyTick(quotas::tick);
         tasks.every(TICKS_PER_TOKEN_SURPLUS, quotas::giveSurplus);
         tasks.every(TICKS_PER_DEMAND_PUBLICATION, this::publishDemand);
+        tasks.every(TICKS_PER_ROLLOUT_REPORT, this::publishRollouts);
         tasks.every(TICKS_PER_REGISTRATION, controllers::publishRegistration);
         tasks.every(TICKS_PER_SETTINGS_CHECK, () -> settingsWatcher.poll(false, this::updateSettings));
         tasks.start();
     }
 
+    private void publishRollouts() {
+        rollouts.reports(handlers).forEach(controllers::publishRollout);
+    }
+
     private void publishDemand() {
         quotas.countProxies(directory.all());
         controllers.publishDemand();
--- a/src/main/java/org/cypressweir/dataplane/proxy/RequestTimers.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/RequestTimers.java
@@ -27,8 +27,15 @@
     private final LongSupplier clock;
     private final SubsetLoadBalancer loadBalancer;
     private final InFlightRequests inFlight;
+    private final AttemptObserver observer;
 
-    RequestTimers(EventLoop loop, LongSupplier clock, SubsetLoadBalancer loadBalancer, InFlightRequests inFlight) {
+    RequestTimers(
+            EventLoop loop,
+            LongSupplier clock,
+            SubsetLoadBalancer loadBalancer,
+            InFlightRequests inFlight,
+            AttemptObserver observer) {
+        this.observer = observer;
         this.loop = loop;
         this.clock = clock;
         this.loadBalancer = loadBalancer;
@@ -57,6 +64,7 @@
     private void timeOut(ProxiedRequest request, int index, ProxiedRequest.Attempt attempt, long now) {
         attempt.timedOut = true;
         long latency = now - attempt.sentAt;
+        observer.attemptEnded(request.route.name(), Result.TIMED_OUT, latency);
         loadBalancer.outcome(
                 now,
                 new LoadBalancer.Outcome(
--- a/src/main/java/org/cypressweir/dataplane/proxy/RoutingTable.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/RoutingTable.java
@@ -7,6 +7,7 @@
 import org.cypressweir.controlplane.configuration.Configuration;
 import org.cypressweir.controlplane.configuration.Item;
 import org.cypressweir.controlplane.configuration.ItemType;
+import org.cypressweir.controlplane.configuration.Rollout;
 import org.cypressweir.controlplane.configuration.RouteConfiguration;
 import org.cypressweir.controlplane.configuration.ServiceConfiguration;
 import org.cypressweir.controlplane.configuration.TenantConfiguration;
@@ -60,6 +61,7 @@
                     case TENANTS -> TenantConfiguration.of(item);
                     case SERVICES -> ServiceConfiguration.of(item);
                     case LIMITS -> ClientLimits.of(item);
+                    case ROLLOUTS -> Rollout.of(item);
                 })
                 .fold(rejection -> rejection, parsed -> parsed);
     }
--- a/src/main/java/org/cypressweir/dataplane/proxy/ServiceHandlers.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ServiceHandlers.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -29,12 +30,14 @@
     private final List<String> zones;
     private final IntSupplier proxyCount;
     private final Runnable onNewHandler;
+    private final Function<String, AttemptObserver> observers;
     private final Map<String, ServiceRequestHandler> tenantHandlers = new HashMap<>();
     private final Map<String, ServiceRequestHandler> internalHandlers = new HashMap<>();
 
     /**
      * @param proxyCount over how many proxies the retries of the settings are divided
      * @param onNewHandler called when a handler was made, which has no endpoints yet
+     * @param observers gives those who are told of the attempts of a service
      */
     ServiceHandlers(
             EventLoop loop,
@@ -43,7 +46,9 @@
             Supplier<NodeSettings> settings,
             List<String> zones,
             IntSupplier proxyCount,
-            Runnable onNewHandler) {
+            Runnable onNewHandler,
+            Function<String, AttemptObserver> observers) {
+        this.observers = observers;
         this.loop = loop;
         this.clock = clock;
         this.transport = transport;
@@ -80,7 +85,8 @@
                 ServiceRequestHandler.retryBudget(
                         current.durationMicros("retryWindow", DEFAULT_RETRY_WINDOW_MICROS),
                         Math.max(1, slack),
-                        RETRY_RATIO_PART * current.number("retryBudgetRatio", 0)));
+                        RETRY_RATIO_PART * current.number("retryBudgetRatio", 0)),
+                observers.apply(service));
     }
 
     /** Replaces the endpoints of all services; those that are not in the map have none. */
@@ -97,6 +103,13 @@
                 handler.updateEndpoints(endpointsByService.getOrDefault(service, List.of()), zones, warmAt));
     }
 
+    /** How many requests of both kinds are in flight at a service. */
+    int inFlightCount(String service) {
+        ServiceRequestHandler tenants = tenantHandlers.get(service);
+        ServiceRequestHandler internal = internalHandlers.get(service);
+        return (tenants == null ? 0 : tenants.inFlightCount()) + (internal == null ? 0 : internal.inFlightCount());
+    }
+
     /** Whether any service has endpoints. */
     boolean hasEndpoints() {
         return tenantHandlers.values().stream().anyMatch(ServiceRequestHandler::hasEndpoints);
--- a/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
@@ -53,7 +53,10 @@
     private final RequestClassTable classes = new RequestClassTable();
     private Settings settings;
 
-    /** @param retryBudget see {@link #retryBudget} */
+    /**
+     * @param retryBudget see {@link #retryBudget}
+     * @param observer is told of all attempts
+     */
     ServiceRequestHandler(
             String service,
             EventLoop loop,
@@ -62,15 +65,16 @@
             String proxyName,
             int zone,
             List<String> zones,
-            Rules retryBudget) {
+            Rules retryBudget,
+            AttemptObserver observer) {
         this.service = service;
         this.loop = loop;
         this.clock = clock;
         settings = initialSettings(service, proxyName, zone, zones, classes.classes(), retryBudget);
         loadBalancer = new SubsetLoadBalancer(settings, this);
         inFlight = new InFlightRequests(service, clock, TIMER_RESOLUTION_MICROS);
-        timers = new RequestTimers(loop, clock, loadBalancer, inFlight);
-        attempts = new AttemptDispatcher(loop, clock, transport, loadBalancer, inFlight, timers);
+        timers = new RequestTimers(loop, clock, loadBalancer, inFlight, observer);
+        attempts = new AttemptDispatcher(loop, clock, transport, loadBalancer, inFlight, timers, observer);
     }
 
     private static Settings initialSettings(
--- a/src/test/java/org/cypressweir/dataplane/proxy/PeerForwardingFixture.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/PeerForwardingFixture.java
@@ -203,7 +203,8 @@
                     "p0",
                     0,
                     List.of("z"),
-                    ServiceRequestHandler.retryBudget(10_000_000, 50, 1));
+                    ServiceRequestHandler.retryBudget(10_000_000, 50, 1),
+                    AttemptObserver.NONE);
             Endpoint remote = new Endpoint(101, "p1", 1, remoteAddress(), "i1", "z");
             Endpoint local = new Endpoint(100, "p0", 1, "own", "i0", "z");
             handler.updateEndpoints(
--- a/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
@@ -102,7 +102,8 @@
                 "p1",
                 0,
                 List.of("z"),
-                ServiceRequestHandler.retryBudget(10_000_000, 50, 0.25));
+                ServiceRequestHandler.retryBudget(10_000_000, 50, 0.25),
+                AttemptObserver.NONE);
         updateEndpoints(endpointCount);
     }
 
--- a/src/test/java/org/cypressweir/dataplane/proxy/WeightedSplitTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/WeightedSplitTest.java
@@ -56,7 +56,8 @@
                 () -> ProxyFixture.SETTINGS,
                 List.of("z"),
                 () -> 1,
-                () -> {});
+                () -> {},
+                service -> AttemptObserver.NONE);
         String service = "{'healthPath':'/health','maxConnections':32,'configVersion':'r1'}";
         Configuration configuration = Configuration.of(ConfigurationChange.read(
                         json("{'upsert':{'serviceTable':{'a':" + service + ",'b':" + service + "},'routeTable':{'r':"
@@ -72,6 +73,7 @@
                 () -> "till",
                 new QuotaGate(new UnconnectedRequester(), new SplittableRandom(1)),
                 handlers,
+                new RolloutRouting(),
                 new RequestTrace(() -> now, 4));
     }
 
