--- a/src/main/java/org/cypressweir/controlplane/registry/RolloutReport.java
+++ b/src/main/java/org/cypressweir/controlplane/registry/RolloutReport.java
@@ -8,7 +8,6 @@
  * What one proxy has seen of a rollout since it learned of it. Reports are cumulative: the latest one of a proxy's run
  * replaces those before, so that none counts twice however often it comes.
  *
- * @param orderVersion the item version of the rollout's first step
  * @param seenVersion the item version that the proxy acts by
  * @param oldInFlight requests in flight at instances of other versions than the new one
  */
