Soaks keep the story and the processes' states also where a wait fails

Change: MeshSoakTest writes target/soak-SEED.log in that case, too, with the state call of each process.

--- a/src/test/java/org/cypressweir/controlplane/controller/RolloutProgressTest.java
+++ b/src/test/java/org/cypressweir/controlplane/controller/RolloutProgressTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Verdicts on versions in simulated time, over seeds: how many requests a bad one gets, and how often a good one fails. */
+/** Verdicts on versions in simulated time, over seeds: what a bad one gets, and how often a good one fails. */
 class RolloutProgressTest {
 
     private static final long SECOND = 1_000_000;
--- a/src/test/java/org/cypressweir/dataplane/proxy/MeshSoakTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/MeshSoakTest.java
@@ -34,8 +34,7 @@
     @MethodSource("seeds")
     void nothingIsLostOrRunTwice(long seed) throws IOException, InterruptedException {
         try (MeshSoak soak = new MeshSoak(folder, seed, PROXIES, seed % 2 == 1)) {
-            soak.run(SECONDS);
-            List<String> violations = soak.violations();
+            List<String> violations = violations(soak);
             System.out.println("soak seed " + seed + ": " + soak.summary() + ", " + violations.size() + " violations");
             if (!violations.isEmpty()) {
                 Files.writeString(Path.of("target", "soak-" + seed + ".log"), violations + "\n" + soak.story());
@@ -43,4 +42,14 @@
             assertThat(violations).isEmpty();
         }
     }
+
+    private static List<String> violations(MeshSoak soak) throws IOException, InterruptedException {
+        try {
+            soak.run(SECONDS);
+            return soak.violations();
+        } catch (AssertionError e) {
+            // Something that was waited for did not come.
+            return List.of(e.getMessage().lines().findFirst().orElse(""));
+        }
+    }
 }
--- a/src/test/java/org/cypressweir/testkit/MeshSoak.java
+++ b/src/test/java/org/cypressweir/testkit/MeshSoak.java
@@ -406,9 +406,27 @@
         return sent + " requests, " + served + " served, " + story.size() + " events, " + changes + " changes";
     }
 
-    /** What was done when, and all logs. */
+    /** What was done when, the state of each process now, and all logs. */
     public String story() {
-        return String.join("\n", story) + "\n" + fixture.allLogs();
+        StringBuilder text = new StringBuilder(String.join("\n", story)).append('\n');
+        List<String> all = new ArrayList<>(proxies);
+        all.addAll(controllers);
+        for (String name : all) {
+            text.append("state of ")
+                    .append(name)
+                    .append(": ")
+                    .append(state(name))
+                    .append('\n');
+        }
+        return text.append(fixture.allLogs()).toString();
+    }
+
+    private String state(String name) {
+        try {
+            return fixture.state(name).body();
+        } catch (IOException e) {
+            return e.toString();
+        }
     }
 
     @Override
