--- a/src/test/java/org/cypressweir/dataplane/quota/QuotaFaultsTest.java
+++ b/src/test/java/org/cypressweir/dataplane/quota/QuotaFaultsTest.java
@@ -3,10 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.cypressweir.dataplane.quota.QuotaFleet.SECOND;
 
-import java.util.SplittableRandom;
-import java.util.stream.IntStream;
+import java.lang.reflect.Method;
+import java.nio.file.Path;
+import org.cypressweir.testkit.PlantedFault;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A tenant's limit over the whole fleet while proxies are partitioned or restarted and controllers come and go. */
@@ -24,7 +27,9 @@
     private static final double USUAL_DEMAND = 20;
     private static final double HOT_DEMAND = 150;
     private static final int RANDOM_RUNS = 50;
-    private static final long RANDOM_RUN_MICROS = 40 * SECOND;
+
+    @TempDir
+    Path folder;
 
     private static QuotaFleet fleet(long seed) {
         QuotaFleet fleet = new QuotaFleet(seed, PROXIES, CONTROLLERS, RATE, BURST);
@@ -115,28 +120,35 @@
     @ValueSource(ints = {3, 11, 40})
     void randomFaultsKeepTheLimit(int proxies) {
         for (long seed = 1; seed <= RANDOM_RUNS; seed++) {
-            QuotaFleet fleet = new QuotaFleet(seed, proxies, CONTROLLERS, RATE, BURST);
-            SplittableRandom random = new SplittableRandom(seed);
-            while (fleet.now() < RANDOM_RUN_MICROS) {
-                fleet.demandPerSecond = random.nextBoolean() ? HOT_DEMAND : USUAL_DEMAND;
-                injectFault(fleet, random);
-                fleet.runUntil(fleet.now() + random.nextLong(50_000, 2 * SECOND));
-            }
-            assertThat(fleet.mostAdmittedWithin(WINDOW_MICROS))
+            assertThat(RandomQuotaFaults.excess(seed, proxies))
                     .as("seed %d", seed)
-                    .isLessThanOrEqualTo((int) (RATE * WINDOW_MICROS / SECOND + BURST + TOLERATED_SLACK));
+                    .isLessThanOrEqualTo(0);
         }
     }
 
-    private static void injectFault(QuotaFleet fleet, SplittableRandom random) {
-        int proxy = random.nextInt(fleet.size());
-        switch (random.nextInt(6)) {
-            case 0 -> fleet.partition(proxy, random.nextInt(fleet.size()));
-            case 1 -> fleet.join(IntStream.range(0, fleet.size()).toArray());
-            case 2 -> fleet.restartProxy(proxy, random.nextLong(SECOND));
-            case 3 -> fleet.restartController(random.nextInt(CONTROLLERS), random.nextLong(3 * SECOND));
-            case 4 -> IntStream.range(0, fleet.size()).forEach(each -> fleet.restartProxy(each, SECOND));
-            default -> fleet.setLimit(random.nextBoolean() ? RATE : RATE / 4, random.nextBoolean() ? BURST : 4);
+    /** What a check that never failed is worth: each of these faults breaks the limit. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "TokenPool.java | tokensByTenant.put(tenant, tokens(tenant) - taken); | taken += 0;",
+                "TokenAccount.java | tokens -= surplus; | tokens -= 0;",
+                "TokenAccount.java | return limit.ratePerSecond() / proxyCount; | return limit.ratePerSecond();",
+                "QuotaGate.java | proxyCount, random.nextDouble()) | proxyCount, limit.burst())"
+            })
+    void plantedFaultsAreFound(String file, String text, String instead) throws Exception {
+        ClassLoader planted = new PlantedFault(
+                folder,
+                Path.of("src/main/java/org/cypressweir/dataplane/quota"),
+                file,
+                text,
+                instead,
+                name -> name.startsWith("org.cypressweir.dataplane.quota."));
+        Method excess = planted.loadClass(RandomQuotaFaults.class.getName()).getMethod("excess", long.class, int.class);
+        int worst = 0;
+        for (long seed = 1; seed <= RANDOM_RUNS && worst <= 0; seed++) {
+            worst = Math.max(worst, (int) excess.invoke(null, seed, PROXIES));
         }
+        assertThat(worst).isPositive();
     }
 }
