--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -10,7 +10,6 @@
 import org.cypressweir.common.transport.JsonCodec;
 import org.cypressweir.common.transport.PeerConnection;
 import org.cypressweir.controlplane.configuration.Configuration;
-import org.cypressweir.controlplane.configuration.TenantConfiguration;
 import org.cypressweir.controlplane.consensus.ProposalNumber;
 import org.cypressweir.controlplane.consensus.ReplicaKey;
 import org.cypressweir.controlplane.distribution.EndpointChangeLog;
@@ -240,21 +239,13 @@
     void committed(ProposalNumber version, Configuration configuration, List<String> voters) {
         versionLog.append(version, configuration);
         voterAddresses = voters.stream().map(ReplicaKey::address).toList();
-        tokenPool.update(tenantLimits(configuration), voterAddresses.size());
+        tokenPool.update(TenantLimit.all(configuration), voterAddresses.size());
         for (PeerConnection connection : List.copyOf(subscribers.keySet())) {
             connection.send(ControllerMessages.configurationVersion(
                     versionLog.version(), voterAddresses, confirmedAge.getAsLong()));
         }
     }
 
-    private static Map<String, TenantLimit> tenantLimits(Configuration configuration) {
-        Map<String, TenantLimit> limits = new HashMap<>();
-        for (TenantConfiguration tenant : TenantConfiguration.all(configuration)) {
-            limits.put(tenant.name(), new TenantLimit(tenant.ratePerSecond(), tenant.burst()));
-        }
-        return limits;
-    }
-
     private Map<String, Object> contact(long askedAt) {
         return ControllerMessages.contact(askedAt, versionLog.version(), confirmedAge.getAsLong());
     }
--- a/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
@@ -100,7 +100,7 @@
         quotas.admit(
                 clock.getAsLong(),
                 tenant.name(),
-                new TenantLimit(tenant.ratePerSecond(), tenant.burst()),
+                TenantLimit.of(tenant),
                 () -> handle(call, id, route, tenant),
                 retryAfterMicros -> reject(call, ErrorKind.OVER_QUOTA, retryAfterMicros));
     }
--- a/src/main/java/org/cypressweir/dataplane/proxy/QuotaExchange.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/QuotaExchange.java
@@ -9,7 +9,6 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cypressweir.controlplane.configuration.Configuration;
-import org.cypressweir.controlplane.configuration.TenantConfiguration;
 import org.cypressweir.controlplane.registry.ProxyRegistration;
 import org.cypressweir.dataplane.quota.DemandMeter;
 import org.cypressweir.dataplane.quota.ProxyCounter;
@@ -57,11 +56,7 @@
 
     /** The limits of a configuration that comes into force. */
     void updateLimits(Configuration configuration) {
-        Map<String, TenantLimit> limits = new HashMap<>();
-        for (TenantConfiguration tenant : TenantConfiguration.all(configuration)) {
-            limits.put(tenant.name(), new TenantLimit(tenant.ratePerSecond(), tenant.burst()));
-        }
-        gate.updateLimits(clock.getAsLong(), limits);
+        gate.updateLimits(clock.getAsLong(), TenantLimit.all(configuration));
     }
 
     /** Counts the proxies of the endpoint directory; to be called about once a second. */
--- a/src/main/java/org/cypressweir/dataplane/quota/TenantLimit.java
+++ b/src/main/java/org/cypressweir/dataplane/quota/TenantLimit.java
@@ -1,5 +1,10 @@
 package org.cypressweir.dataplane.quota;
 
+import java.util.HashMap;
+import java.util.Map;
+import org.cypressweir.controlplane.configuration.Configuration;
+import org.cypressweir.controlplane.configuration.TenantConfiguration;
+
 /**
  * A tenant's rate limit over all proxies.
  *
@@ -8,6 +13,19 @@
  */
 public record TenantLimit(double ratePerSecond, double burst) {
 
+    public static TenantLimit of(TenantConfiguration tenant) {
+        return new TenantLimit(tenant.ratePerSecond(), tenant.burst());
+    }
+
+    /** The limits of a configuration's tenants, by name. */
+    public static Map<String, TenantLimit> all(Configuration configuration) {
+        Map<String, TenantLimit> limits = new HashMap<>();
+        for (TenantConfiguration tenant : TenantConfiguration.all(configuration)) {
+            limits.put(tenant.name(), of(tenant));
+        }
+        return limits;
+    }
+
     /** Whether there is a limit at all. */
     public boolean isLimited() {
         return ratePerSecond > 0;
