A soak's application that cannot announce its draining is replaced all the same

A stub whose proxy was gone at that moment kept saying that it drains for good; with all three stubs so there is no instance left, and a proxy is not ready. Change: the stub starts its next incarnation in any case.

--- a/src/test/java/org/cypressweir/testkit/MeshSoak.java
+++ b/src/test/java/org/cypressweir/testkit/MeshSoak.java
@@ -244,12 +244,19 @@
             return;
         }
         ApplicationStubs application = fixture.application(proxy);
+        String next = SERVICE + "-" + proxy + "-" + ++incarnations;
         try {
             application.drain();
-            application.startIncarnation(SERVICE + "-" + proxy + "-" + ++incarnations);
+            tell("application of " + proxy + " drains");
+        } catch (IOException e) {
+            tell("application of " + proxy + " has nobody to tell that it drains: " + e.getMessage());
+        }
+        try {
+            application.startIncarnation(next);
             tell("application of " + proxy + " replaced");
         } catch (IOException e) {
-            tell("application of " + proxy + " not replaced: " + e.getMessage());
+            // Its next heartbeat tells.
+            tell("application of " + proxy + " replaced, not told yet: " + e.getMessage());
         }
     }
 
