--- a/src/main/java/org/cypressweir/meshctl/MeshCtl.java
+++ b/src/main/java/org/cypressweir/meshctl/MeshCtl.java
@@ -17,6 +17,7 @@
 import org.cypressweir.meshctl.command.QuotasCommand;
 import org.cypressweir.meshctl.command.RejectionsCommand;
 import org.cypressweir.meshctl.command.ReplicasCommand;
+import org.cypressweir.meshctl.command.RolloutCommand;
 import org.cypressweir.meshctl.command.RouteCommand;
 import org.cypressweir.meshctl.command.StateCommand;
 import org.cypressweir.meshctl.command.Version;
@@ -59,6 +60,7 @@
             DiffCommand.class,
             StateCommand.class,
             BootstrapCommand.class,
+            RolloutCommand.class,
             HelpCommand.class
         })
 public final class MeshCtl implements Runnable, CommandContext {
--- a/src/main/java/org/cypressweir/meshctl/command/BootstrapCommand.java
+++ b/src/main/java/org/cypressweir/meshctl/command/BootstrapCommand.java
@@ -1,12 +1,6 @@
 package org.cypressweir.meshctl.command;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.cypressweir.common.transport.ApiCall;
@@ -28,9 +22,6 @@
         footer = "Exit status: 5 if the controller rejects it.")
 public final class BootstrapCommand implements Callable<Integer> {
 
-    private static final Duration TIMEOUT = Duration.ofSeconds(5);
-    private static final int STATUS_OK = 200;
-
     @Parameters(index = "0", paramLabel = "CONTROLLER", description = "The controller's controlPlane address.")
     private String controller;
 
@@ -54,26 +45,13 @@
                     spec.commandLine(),
                     "with --confirm " + controller + " gives up every change that was ever acknowledged");
         }
-        HttpResponse<byte[]> response = send();
-        if (response.statusCode() == STATUS_OK) {
+        byte[] body = JsonCodec.bytes(JsonCodec.map("confirm", true, "abandon", abandoned));
+        OperatorCall.Answer answer = OperatorCall.post(controller, ApiCall.BOOTSTRAP.path(), body);
+        if (answer.isOk()) {
             spec.commandLine().getOut().println(controller + " starts with an empty configuration.");
             return ExitStatus.OK;
         }
-        String reason = new String(response.body(), StandardCharsets.UTF_8).strip();
-        spec.commandLine().getErr().println("cypressweir: " + controller + " rejects it: " + reason);
+        spec.commandLine().getErr().println("cypressweir: " + controller + " rejects it: " + answer.text());
         return ExitStatus.DIFFERENT;
     }
-
-    private HttpResponse<byte[]> send() throws IOException, InterruptedException {
-        HttpClient client = HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(TIMEOUT)
-                .build();
-        byte[] body = JsonCodec.bytes(JsonCodec.map("confirm", true, "abandon", abandoned));
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + controller + ApiCall.BOOTSTRAP.path()))
-                .timeout(TIMEOUT)
-                .POST(HttpRequest.BodyPublishers.ofByteArray(body))
-                .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
-    }
 }
--- a/src/test/java/org/cypressweir/controlplane/controller/RolloutProcessTest.java
+++ b/src/test/java/org/cypressweir/controlplane/controller/RolloutProcessTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cypressweir.meshctl.MeshCtl;
 import org.cypressweir.testkit.ApplicationStubs;
 import org.cypressweir.testkit.MeshFixture;
 import org.cypressweir.testkit.RawHttpClient;
@@ -108,6 +111,14 @@
         return response.status() == 200 && response.body().contains("\"operState\":\"" + state + "\"");
     }
 
+    private void assertCommandTellsTheState() {
+        StringWriter out = new StringWriter();
+        PrintWriter writer = new PrintWriter(out, true);
+        int status = MeshCtl.run(writer, writer, "rollout", "orders", "--controller", fixture.controlAddress("h2"));
+        assertThat(status).isZero();
+        assertThat(out.toString()).contains("in_progress");
+    }
+
     private int orderStatus(String controller, String json) throws IOException {
         return fixture.beginRollout(controller, json).status();
     }
@@ -123,6 +134,7 @@
         assertThat(orderStatus("h2", ORDER)).isEqualTo(200);
         assertThat(orderStatus("h3", ORDER.replace("v2", "v3"))).isEqualTo(409);
         assertThat(hasState("h2", "in_progress")).isTrue();
+        assertCommandTellsTheState();
         assertThat(fixture.modify("h1", "{'upsert':{'rolloutTable':{'orders':{'configVersion':'r9'}}}}")
                         .status())
                 .isEqualTo(400);
