--- a/src/test/java/org/cypressweir/testkit/SidecarProcesses.java
+++ b/src/test/java/org/cypressweir/testkit/SidecarProcesses.java
@@ -297,6 +297,11 @@
         return (System.nanoTime() - begun) / 1_000_000;
     }
 
+    /** For how long in all this process was kept waiting: what it sees of others, it sees so much later. */
+    public long lateNanos() {
+        return pace.lateNanos();
+    }
+
     /** What all have logged. */
     public String logs() {
         StringBuilder all = new StringBuilder();
