A controller's part in rate limits is a class of its own

Cause: UpdatePublisher had grown by the tokens and the count of proxies, which are another job than publishing. Change: QuotaCoordinator has both; UpdatePublisher passes messages on to it. Messages are the same.

--- a/src/main/java/org/cypressweir/controlplane/controller/Controller.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/Controller.java
@@ -89,7 +89,7 @@
                 incarnation,
                 settings.controlAddress(),
                 this::confirmedAge,
-                settings.number("quotaSlack", 0),
+                new QuotaCoordinator(settings.number("quotaSlack", 0)),
                 rollouts);
         peers = new ControllerPeers(transport, clock, peerAddress, this::hello);
         seeds = List.copyOf(settings.seedPeerAddresses());
--- a/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
+++ b/src/main/java/org/cypressweir/controlplane/controller/UpdatePublisher.java
@@ -17,9 +17,6 @@
 import org.cypressweir.controlplane.registry.ProxyRegistration;
 import org.cypressweir.controlplane.registry.ProxyRegistry;
 import org.cypressweir.dataplane.quota.DemandAggregator;
-import org.cypressweir.dataplane.quota.ProxyCounter;
-import org.cypressweir.dataplane.quota.TenantLimit;
-import org.cypressweir.dataplane.quota.TokenPool;
 import org.jboss.logging.Logger;
 
 /**
@@ -50,8 +47,6 @@
         private long offset = -1;
 
         private boolean demandSubscribed;
-        /** How many proxies it has seen. */
-        private int proxyCount;
 
         private Subscriber(String name) {
             this.name = name;
@@ -66,9 +61,7 @@
     private final EndpointChangeLog endpointLog = new EndpointChangeLog();
     private final VersionLog versionLog = new VersionLog();
     private final DemandAggregator demand = new DemandAggregator();
-    private final TokenPool tokenPool;
-    private final ProxyCounter proxyCounter = new ProxyCounter();
-    private int announcedProxyCount;
+    private final QuotaCoordinator quotas;
     private final RolloutDriver rollouts;
     private final Map<PeerConnection, Subscriber> subscribers = new LinkedHashMap<>();
     private List<String> voterAddresses = List.of();
@@ -85,7 +78,7 @@
      * @param clock in microseconds
      * @param controlAddress where this controller is asked by operators
      * @param confirmedAge how long ago the published configuration was known to be the newest; below 0: never
-     * @param quotaSlack requests beyond a tenant's limit that are tolerated within a window
+     * @param quotas this controller's part in the rate limits of tenants
      * @param rollouts takes what proxies report of rollouts
      */
     UpdatePublisher(
@@ -93,10 +86,10 @@
             long incarnation,
             String controlAddress,
             LongSupplier confirmedAge,
-            double quotaSlack,
+            QuotaCoordinator quotas,
             RolloutDriver rollouts) {
         this.rollouts = rollouts;
-        tokenPool = new TokenPool(quotaSlack);
+        this.quotas = quotas;
         this.clock = clock;
         this.incarnation = incarnation;
         this.controlAddress = controlAddress;
@@ -147,8 +140,8 @@
         connection.send(ControllerMessages.welcome(
                 incarnation, voterAddresses, controlAddress, versionLog.version(), confirmedAge.getAsLong()));
         // Before any configuration: a proxy divides the limits in it by this number.
-        proxyCounter.seen(clock.getAsLong(), name, false);
-        connection.send(ControllerMessages.proxyCount(proxyCount()));
+        int proxyCount = quotas.connected(clock.getAsLong(), name);
+        connection.send(ControllerMessages.proxyCount(proxyCount));
     }
 
     /** A message has come from a proxy; from a connection without a hello it is ignored. */
@@ -179,37 +172,27 @@
         } else if (message instanceof ProxyMessage.RolloutObserved observed) {
             rollouts.reported(subscriber.name, observed.incarnation(), observed.report());
         } else if (message instanceof ProxyMessage.TokenSurplus surplus) {
-            tokenPool.add(surplus.tokensByTenant());
+            quotas.add(surplus.tokensByTenant());
         } else if (message instanceof ProxyMessage.TokenRequest request) {
-            int count = tokenPool.take(request.tenant(), request.count());
+            int count = quotas.take(request.tenant(), request.count());
             connection.send(ControllerMessages.tokenResponse(request.tenant(), count));
         } else if (message instanceof ProxyMessage.ProxyCount proxies) {
-            subscriber.proxyCount = proxies.count();
+            quotas.countReported(connection, proxies.count());
         }
     }
 
     /** Tells all proxies by how many the limits are divided, if it has changed. */
-    private void announceProxyCount() {
-        int count = proxyCount();
-        if (count != announcedProxyCount) {
-            announcedProxyCount = count;
+    private void announceProxyCount(long now) {
+        int count = quotas.takeChangedCount(now, inQuorumContact);
+        if (count > 0) {
             byte[] message = JsonCodec.bytes(ControllerMessages.proxyCount(count));
             subscribers.keySet().forEach(connection -> connection.sendEncoded(message));
         }
     }
 
-    /** By how many proxies the limits are divided: as many as this controller or one of the proxies has seen. */
-    private int proxyCount() {
-        int count = proxyCounter.count();
-        for (Subscriber subscriber : subscribers.values()) {
-            count = Math.max(count, subscriber.proxyCount);
-        }
-        return count;
-    }
-
     private void register(PeerConnection connection, ProxyRegistration registration) {
         if (registration != null) {
-            proxyCounter.seen(clock.getAsLong(), registration.name(), registration.shuttingDown());
+            quotas.registered(clock.getAsLong(), registration);
         }
         if (registration != null && registry.register(connection, registration)) {
             endpointLog.append(registration.name());
@@ -229,6 +212,7 @@
 
     void disconnected(PeerConnection connection) {
         Subscriber subscriber = subscribers.remove(connection);
+        quotas.disconnected(connection);
         if (subscriber != null) {
             registry.connectionLost(clock.getAsLong(), connection);
             demand.disconnected(clock.getAsLong(), subscriber.name);
@@ -239,7 +223,7 @@
     void committed(ProposalNumber version, Configuration configuration, List<String> voters) {
         versionLog.append(version, configuration);
         voterAddresses = voters.stream().map(ReplicaKey::address).toList();
-        tokenPool.update(TenantLimit.all(configuration), voterAddresses.size());
+        quotas.committed(configuration, voterAddresses.size());
         for (PeerConnection connection : List.copyOf(subscribers.keySet())) {
             connection.send(ControllerMessages.configurationVersion(
                     versionLog.version(), voterAddresses, confirmedAge.getAsLong()));
@@ -259,10 +243,7 @@
         lastTickAt = now;
         checkQuorumContact();
         expireProxies(now);
-        if (inQuorumContact) {
-            proxyCounter.expire(now);
-        }
-        announceProxyCount();
+        announceProxyCount(now);
         publishEndpoints();
         publishedSinceTick = false;
     }
--- a/src/test/java/org/cypressweir/controlplane/controller/GoldenControllerMessagesTest.java
+++ b/src/test/java/org/cypressweir/controlplane/controller/GoldenControllerMessagesTest.java
@@ -64,7 +64,12 @@
     @BeforeEach
     void start() {
         publisher = new UpdatePublisher(
-                () -> NOW, INCARNATION, "10.0.0.1:9", () -> CONFIRMED_AGE, 0, new RolloutDriver(() -> NOW, () -> null));
+                () -> NOW,
+                INCARNATION,
+                "10.0.0.1:9",
+                () -> CONFIRMED_AGE,
+                new QuotaCoordinator(0),
+                new RolloutDriver(() -> NOW, () -> null));
     }
 
     private void receives(String json) {
--- a/src/test/java/org/cypressweir/controlplane/controller/UpdatePublisherTest.java
+++ b/src/test/java/org/cypressweir/controlplane/controller/UpdatePublisherTest.java
@@ -26,7 +26,12 @@
     @BeforeEach
     void start() {
         publisher = new UpdatePublisher(
-                () -> now, INCARNATION, "10.0.0.1:9", () -> 0, 0, new RolloutDriver(() -> now, () -> null));
+                () -> now,
+                INCARNATION,
+                "10.0.0.1:9",
+                () -> 0,
+                new QuotaCoordinator(0),
+                new RolloutDriver(() -> now, () -> null));
     }
 
     private static String name(int proxy) {
