The relay of the tests has empty queues again once a partition is healed

While a link is silent the relay fills the listener's queue; heal() returned once the fillers were closed, but they were still in the queue, so the next SYN was dropped and tried again after a second. Change: the relay accepts what is in the queue before heal() returns. The test is unchanged.

--- a/src/test/java/org/cypressweir/testkit/ConnectionRelay.java
+++ b/src/test/java/org/cypressweir/testkit/ConnectionRelay.java
@@ -312,6 +312,7 @@
                     fill(pair, door);
                 } else {
                     free(pair);
+                    emptyQueue(pair);
                     door.keyFor(selector).interestOps(SelectionKey.OP_ACCEPT);
                 }
             }
@@ -331,6 +332,14 @@
         fillers.put(pair, all);
     }
 
+    /** While its queue is full the system answers no dial, and the dialler tries again only after a second. */
+    private void emptyQueue(Pair pair) throws IOException {
+        boolean isEmpty = false;
+        while (!isEmpty) {
+            isEmpty = !accept(pair);
+        }
+    }
+
     private void free(Pair pair) throws IOException {
         for (SocketChannel one : fillers.getOrDefault(pair, List.of())) {
             one.close();
@@ -338,14 +347,15 @@
         fillers.remove(pair);
     }
 
-    private void accept(Pair pair) throws IOException {
+    /** Takes the next connection; returns whether there was one. */
+    private boolean accept(Pair pair) throws IOException {
         SocketChannel dialler = open.get(pair).accept();
         if (dialler == null) {
-            return;
+            return false;
         }
         if (mode(pair) == LinkMode.RESET) {
             reset(dialler);
-            return;
+            return true;
         }
         SocketChannel target;
         try {
@@ -353,7 +363,7 @@
         } catch (IOException e) {
             down.add(pair.to);
             reset(dialler);
-            return;
+            return true;
         }
         Link link = new Link(pair, dialler, target);
         links.add(link);
@@ -362,6 +372,7 @@
             flow.in.configureBlocking(false);
             flow.in.register(selector, 0, flow);
         }
+        return true;
     }
 
     private void move(long now) throws IOException {
