MeshTest holds the bound drain for a draining instance

Change: all proxies have stopped within 2.5 s of the acknowledgement, the bound of the fixture's settings, which was checked nowhere before.

--- a/src/test/java/org/cypressweir/dataplane/proxy/MeshTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/MeshTest.java
@@ -40,6 +40,9 @@
             + "'free':{'apiKeys':['k-free'],'configVersion':'r1'},"
             + "'thin':{'apiKeys':['k-thin'],'ratePerS':2,'burstSize':2,'configVersion':'r1'}}}}";
 
+    /** The bound of the fixture's settings within which a draining instance gets no more requests. */
+    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
     @TempDir
     static Path folder;
 
@@ -310,6 +313,7 @@
     void drainingInstanceGetsNoRequests() throws Exception {
         ApplicationStubs instance = fixture.application("p3");
         instance.drain();
+        long acknowledgedAt = System.nanoTime();
         fixture.await("no proxy sends it anything", () -> {
             int before = instance.received.size();
             for (int i = 0; i < 12; i++) {
@@ -317,6 +321,7 @@
             }
             return instance.received.size() == before;
         });
+        assertThat(System.nanoTime() - acknowledgedAt).as("the bound drain").isLessThan(DRAIN_NANOS);
         // Requests that were sent by then are answered: its own proxy knew of the draining first.
         int refused = instance.rejectedWhileDraining.get();
         int seen = instance.received.size();
