--- a/review/3/SplitByCountedIds.java
+++ b/review/3/SplitByCountedIds.java
@@ -96,6 +96,7 @@
         headers.put("Host", "read.example");
         headers.put("Cypressweir-Attempt-Id", id);
         headers.put("Cypressweir-Time-Remaining", "2500");
+        record.line("client sends " + id);
         int status = Http.call(mesh.outbound(1), "GET", "/r/x", headers, new byte[0], 5_000).status();
         record.line("client " + id + " got " + status);
         return status;
