--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -228,9 +228,16 @@
 
         /** A server of a service beside a proxy; it sends heartbeats until it ends. */
         Server server(int proxy, String service, String id, int slots, Handler handler) throws IOException {
+            return server(proxy, service, id, "v1", slots, handler);
+        }
+
+        /** The same with a version of its software. */
+        Server server(int proxy, String service, String id, String version, int slots, Handler handler)
+                throws IOException {
             Server server = new Server(this, proxy, service, id, slots, handler);
+            server.version = version;
             servers.add(server);
-            return server;
+            return server.begin();
         }
 
         /** Sends a change until it has a clear answer; returns the status. */
@@ -406,7 +413,7 @@
         }
     }
 
-    /** Runs a request that is for this server; returns the body of a 200. */
+    /** Runs a request that is for this server; returns the body of a 200, or null for the server's own 500. */
     interface Handler {
         byte[] run(ServerRequest request) throws Exception;
     }
@@ -423,6 +430,7 @@
         volatile String state = "in_service";
         volatile boolean beating = true;
         volatile boolean ended;
+        volatile String version = "v1";
         private final ServerSocket socket;
         private final List<Socket> open = new ArrayList<>();
 
@@ -436,8 +444,13 @@
             socket = new ServerSocket();
             socket.setReuseAddress(true);
             socket.bind(new InetSocketAddress(mesh.proxy(proxy), 9000), 200);
+        }
+
+        /** Takes requests and sends heartbeats from now on. */
+        Server begin() {
             thread(this::accept);
             thread(this::beat);
+            return this;
         }
 
         private void accept() {
@@ -484,6 +497,10 @@
                 log("server " + id + " answers 421 to " + request.id() + " for " + target);
             } else {
                 body = handler.run(request);
+                if (body == null) {
+                    status = 500;
+                    body = "failed".getBytes(StandardCharsets.UTF_8);
+                }
                 more = "Cypressweir-Server-Seal: " + id + "." + request.id() + "\r\n";
             }
             String head = "HTTP/1.1 " + status + " S\r\nCypressweir-Attempt-Id: " + request.id() + "\r\n" + more
@@ -497,7 +514,7 @@
 
         String beatBody(long callSequence, String operState) {
             return "{\"address\":\"" + mesh.proxy(proxy) + ":9000\",\"nodeInfo\":{\"service\":\"" + service
-                    + "\",\"configVersion\":\"v1\",\"zone\":\"" + Mesh.zone(proxy) + "\",\"capacitySlots\":" + slots
+                    + "\",\"configVersion\":\"" + version + "\",\"zone\":\"" + Mesh.zone(proxy) + "\",\"capacitySlots\":" + slots
                     + "},\"operStatus\":{\"operState\":\"" + operState + "\",\"callSequence\":" + callSequence
                     + ",\"warmupLeft\":\"0ms\"}}";
         }
--- /dev/null
+++ b/review/support-2/LastServer.java
@@ -0,0 +1,119 @@
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The proxy beside one of two servers stands still for two seconds and goes on. Later the other server leaves in order.
+ * Then requests that may not be repeated have one server left, which is well and idle.
+ */
+final class LastServer {
+
+    private static final int FREEZE_MILLIS = 2_000;
+    private static final int PER_SECOND = 25;
+    private static final int DRAIN_MILLIS = 2_500;
+
+    private static final AtomicInteger ranAtLast = new AtomicInteger();
+
+    public static void main(String[] args) throws Exception {
+        Kit.main(args[0], LastServer::run);
+    }
+
+    private static boolean run(Kit.Mesh mesh) throws Exception {
+        mesh.start("front", "billing", "billing");
+        mesh.server(1, "front", "front-1", 12, request -> answer());
+        mesh.server(2, "billing", "billing-2", 12, request -> {
+            ranAtLast.incrementAndGet();
+            return answer();
+        });
+        Kit.Server leaving = mesh.server(3, "billing", "billing-3", 12, request -> answer());
+        mesh.modify("{\"upsert\":{\"serviceTable\":{" + service("front") + "," + service("billing")
+                + "},\"routeTable\":{" + route("start", "billing", "non_idempotent", 1) + ","
+                + route("status", "billing", "idempotent", 1) + "," + route("info", "front", "idempotent", 1) + "}}}");
+        mesh.awaitReady(1, 2, 3);
+        Kit.sleep(5_000);
+        double before = Math.min(send(mesh, "before", "start", 2_000), send(mesh, "before", "status", 2_000));
+
+        // The operator moves the route of the reads to another service.
+        mesh.modify("{\"upsert\":{\"routeTable\":{" + route("status", "front", "idempotent", 2) + "}}}");
+        Kit.sleep(5_000);
+        Thread freeze = Kit.thread(() -> freeze(mesh));
+        send(mesh, "freeze", "start", 5_000);
+        freeze.join();
+        send(mesh, "well", "start", 10_000);
+
+        leaving.state = "draining";
+        leaving.sendBeat(leaving.sequence.incrementAndGet(), "draining");
+        Kit.log("billing-3 drains");
+        Kit.sleep(DRAIN_MILLIS + 1_000);
+        leaving.deregister();
+        leaving.end();
+        Kit.sleep(5_000);
+        int ranBefore = ranAtLast.get();
+        double start = send(mesh, "after", "start", 15_000);
+        double info = send(mesh, "after", "info", 5_000);
+        double status = send(mesh, "after", "status", 5_000);
+        double all = (3 * start + info + status) / 5;
+        Kit.log(String.format("served before %.2f; after: kind start %.2f, kind info %.2f, kind status %.2f, all %.2f;"
+                + " billing-2 ran %d of them", before, start, info, status, all, ranAtLast.get() - ranBefore));
+        return before > 0.9 && start < all / 4;
+    }
+
+    private static void freeze(Kit.Mesh mesh) {
+        try {
+            Kit.sleep(1_000);
+            if (Kit.TROUBLE) {
+                mesh.signal("proxy-2", "STOP");
+                Kit.sleep(FREEZE_MILLIS);
+                mesh.signal("proxy-2", "CONT");
+            }
+        } catch (IOException | InterruptedException e) {
+            Kit.log("freeze failed " + e);
+        }
+    }
+
+    private static byte[] answer() throws InterruptedException {
+        Kit.sleep(120);
+        return "ran".getBytes();
+    }
+
+    private static String service(String name) {
+        return "\"" + name + "\":{\"healthPath\":\"/health\",\"maxConnections\":110,\"configVersion\":\"r1\"}";
+    }
+
+    private static String route(String kind, String service, String type, int version) {
+        return "\"r-" + kind + "\":{\"hostname\":\"" + kind + ".example\",\"pathPrefix\":\"/\",\"service\":\"" + service
+                + "\",\"routeType\":\"" + type + "\",\"timeout\":\"2500ms\",\"targetLatency\":\"400ms\",\"priority\":1,"
+                + "\"maxAttempts\":2,\"configVersion\":\"r" + version + "\"}";
+    }
+
+    /** So many requests a second, each on a connection of its own; returns the share that is served. */
+    private static double send(Kit.Mesh mesh, String phase, String kind, long millis) throws InterruptedException {
+        AtomicInteger served = new AtomicInteger();
+        List<Thread> threads = new ArrayList<>();
+        for (long end = Kit.nowMillis() + millis; Kit.nowMillis() < end; Kit.sleep(1_000 / PER_SECOND)) {
+            String id = phase + "-" + kind + "-" + (threads.size() + 1);
+            threads.add(Kit.thread(() -> {
+                String result;
+                try {
+                    String method = kind.equals("start") ? "POST" : "GET";
+                    int status = mesh.request(1, id, kind + ".example", method, "/x", 1_500, List.of(), new byte[0],
+                                    4_000)
+                            .status;
+                    if (status == 200) {
+                        served.incrementAndGet();
+                    }
+                    result = "answered " + status;
+                } catch (IOException e) {
+                    result = "failed " + e;
+                }
+                Kit.log(id + " " + result);
+            }));
+        }
+        for (Thread each : threads) {
+            each.join();
+        }
+        Kit.log(phase + " " + kind + ": " + served + " of " + threads.size() + " served");
+        return served.get() / (double) threads.size();
+    }
+}
