--- a/review/support-2/LateBeat.java
+++ b/review/support-2/LateBeat.java
@@ -12,7 +12,8 @@
     private static final int DRAIN_MILLIS = 2_500;
     private static final int CONTACT_MILLIS = 3_000;
     private static final int DOWN_MILLIS = 500;
-    private static final int SERVES_ON_MILLIS = 9_000;
+    private static final int WORK_MILLIS = 400;
+    private static final int SERVES_ON_MILLIS = 7_500;
 
     private static volatile long acknowledgedAt = Long.MAX_VALUE;
     private static volatile long calmAt = Long.MAX_VALUE;
@@ -29,12 +30,12 @@
         mesh.server(1, "front", "front-1", 12, request -> new byte[2]);
         Kit.Server leaving = mesh.server(2, "billing", "billing-2", 12, LateBeat::runAtLeaving);
         mesh.server(3, "billing", "billing-3", 12, request -> {
-            Kit.sleep(120);
+            Kit.sleep(WORK_MILLIS);
             return "ran".getBytes();
         });
         mesh.modify("{\"upsert\":{\"serviceTable\":{" + service("front") + "," + service("billing")
                 + "},\"routeTable\":{\"r-session\":{\"hostname\":\"session.example\",\"pathPrefix\":\"/\",\"service\":"
-                + "\"billing\",\"routeType\":\"non_idempotent\",\"timeout\":\"2500ms\",\"targetLatency\":\"400ms\","
+                + "\"billing\",\"routeType\":\"non_idempotent\",\"timeout\":\"2500ms\",\"targetLatency\":\"1s\","
                 + "\"priority\":1,\"maxAttempts\":2,\"configVersion\":\"r1\"}}}}");
         mesh.awaitReady(1, 2, 3);
         Kit.sleep(5_000);
@@ -86,7 +87,7 @@
                 lateIds.add(request.id());
             }
         }
-        Kit.sleep(120);
+        Kit.sleep(WORK_MILLIS);
         return "ran".getBytes();
     }
 
