--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -219,11 +219,13 @@
             }
         }
 
-        void logTail(String name, int lines) throws IOException {
-            List<String> all = Files.readAllLines(dir.resolve(name + ".log"));
-            for (String line : all.subList(Math.max(0, all.size() - lines), all.size())) {
-                log(name + " log: " + line);
-            }
+        /** Writes the first lines of a process's log that contain a text to the record. */
+        void logMatching(String name, String text, int most) throws IOException {
+            List<String> found = Files.readAllLines(dir.resolve(name + ".log")).stream()
+                    .filter(line -> line.contains(text))
+                    .toList();
+            Kit.log(name + " has logged " + text + " " + found.size() + " times");
+            found.stream().limit(most).forEach(line -> Kit.log(name + " log: " + line));
         }
 
         /** A server of a service beside a proxy; it sends heartbeats until it ends. */
