--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -198,6 +198,25 @@
             new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid())).start().waitFor();
         }
 
+        /** A closing fault: a change is acknowledged, then one controller loses its disk and comes back after 1 s. */
+        void closingFault(String change) throws IOException, InterruptedException {
+            if (modify(change) != 200) {
+                throw new IllegalStateException("the change before the closing fault was not acknowledged");
+            }
+            signal("controller-1", "KILL");
+            processes.get("controller-1").waitFor();
+            deleteTree(dir.resolve("disk-1"));
+            log("controller-1 has lost its disk");
+            sleep(1_000);
+            launch("controller-1", "controller");
+        }
+
+        private static void deleteTree(Path tree) throws IOException {
+            try (Stream<Path> files = Files.walk(tree)) {
+                files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
+            }
+        }
+
         void killAll() {
             servers.forEach(Server::end);
             processes.values().forEach(Process::destroyForcibly);
@@ -214,9 +233,7 @@
                     }
                 }
             }
-            try (Stream<Path> files = Files.walk(dir)) {
-                files.sorted((a, b) -> b.compareTo(a)).forEach(f -> f.toFile().delete());
-            }
+            deleteTree(dir);
         }
 
         /** Writes the first lines of a process's log that contain a text to the record. */
