--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -450,6 +450,8 @@
         volatile boolean beating = true;
         volatile boolean ended;
         volatile String version = "v1";
+        /** Whether it resets new connections, as one whose queue is long. */
+        volatile boolean resetsNew;
         private final ServerSocket socket;
         private final List<Socket> open = new ArrayList<>();
 
@@ -476,6 +478,11 @@
             while (!ended) {
                 try {
                     Socket client = socket.accept();
+                    if (resetsNew) {
+                        client.setSoLinger(true, 0);
+                        client.close();
+                        continue;
+                    }
                     client.setTcpNoDelay(true);
                     synchronized (open) {
                         open.add(client);
