--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -195,7 +195,7 @@
 
         void signal(String name, String signal) throws IOException, InterruptedException {
             log("signal " + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + processes.get(name).pid()).start().waitFor();
         }
 
         /** A closing fault: a change is acknowledged, then one controller loses its disk and comes back after 1 s. */
@@ -321,6 +321,7 @@
             List<String> all = new ArrayList<>(headers);
             all.add("Cypressweir-Attempt-Id: " + id);
             all.add("Cypressweir-Time-Remaining: " + remainingMillis);
+            log(id + " sent to proxy-" + proxy);
             return Kit.call(proxy(proxy), 7502, method, path, host, all, body, timeoutMillis);
         }
     }
@@ -522,6 +523,7 @@
                 more = "Cypressweir-Not-Executed: 1\r\n";
                 log("server " + id + " answers 421 to " + request.id() + " for " + target);
             } else {
+                log(id + " runs " + request.id());
                 body = handler.run(request);
                 if (body == null) {
                     status = 500;
