Routes stay locked after the last tenant is withdrawn

After the operator had withdrawn the last tenant, the server got all requests, with the key that was dropped and with keys that no configuration ever held, on routes without publicAccess.

Requests need a key as soon as the configuration has had a tenant. The tombstones of withdrawn tenants say so, at a proxy that starts later as well. A configuration that never had a tenant needs none, as before. The same cause looked for elsewhere: a tenant that can't be parsed has no keys and counts as a tenant (closed); withdrawn or unreadable `limits` mean the defaults, which are bounds; requests that wait for tokens of a withdrawn tenant are rejected; before the first configuration all requests are answered 503. None of these opens anything; nothing else is changed.

--- a/src/main/java/org/cypressweir/dataplane/proxy/RoutingTable.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/RoutingTable.java
@@ -35,15 +35,15 @@
         this.version = version;
         this.configuration = configuration;
         ClientLimits configuredLimits = ClientLimits.DEFAULTS;
-        boolean hasTenants = false;
+        boolean hasTenantTable = false;
         for (Item item : configuration.items()) {
+            hasTenantTable |= item.key().type() == ItemType.TENANTS;
             if (item.withdrawn()) {
                 continue;
             }
             Object before = parsedBefore.get(item);
             Object parsed = before == null ? parse(item) : before;
             parsedItems.put(item, parsed);
-            hasTenants |= item.key().type() == ItemType.TENANTS;
             if (parsed instanceof ClientLimits itemLimits) {
                 configuredLimits = itemLimits;
             } else {
@@ -51,7 +51,7 @@
             }
         }
         limits = configuredLimits;
-        requiresKeys = hasTenants;
+        requiresKeys = hasTenantTable;
     }
 
     /** The item's typed form, or the rejection that says why it can't be parsed. */
@@ -113,7 +113,10 @@
         return null;
     }
 
-    /** Whether requests need an API key: they do as soon as any tenant is configured. */
+    /**
+     * Whether requests need an API key: they do as soon as the configuration has ever had a tenant. A withdrawn tenant
+     * counts, since an emptied table of tenants locks its clients out and opens nothing.
+     */
     boolean requiresKeys() {
         return requiresKeys;
     }
