A client that leaves while its request waits for a token takes nothing with it

After a tenant's burst beyond its limit, with clients that left early, a proxy answered 503 to every request to the service, for good, while both servers were idle.

The admission of a request is an object with one end: admitted, rejected or cancelled. The listener cancels it when the client leaves, so that it spends no token and is not handed over. A request whose client has left is not given to the load balancer, however it comes. An upload has no wait of this kind: a request is handled once its body is complete. Seen in the traces and not changed here: an attempt that is cancelled since its client left is reported as BROKEN, which counts as a failure of the server.

--- a/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
@@ -16,6 +16,7 @@
 import org.cypressweir.dataplane.http.server.RequestHandler;
 import org.cypressweir.dataplane.http.server.ServerRequest;
 import org.cypressweir.dataplane.http.server.ServerResponse;
+import org.cypressweir.dataplane.quota.Admission;
 import org.cypressweir.dataplane.quota.QuotaGate;
 import org.cypressweir.dataplane.quota.TenantLimit;
 
@@ -97,12 +98,24 @@
             reject(call, ErrorKind.NO_KEY, 0);
             return;
         }
-        quotas.admit(
+        Admission admission = quotas.admit(
                 clock.getAsLong(),
                 tenant.name(),
                 TenantLimit.of(tenant),
                 () -> handle(call, id, route, tenant),
                 retryAfterMicros -> reject(call, ErrorKind.OVER_QUOTA, retryAfterMicros));
+        if (admission.isWaiting()) {
+            call.onDisconnect(() -> clientLeft(call, admission));
+        }
+    }
+
+    private void clientLeft(ServerRequest call, Admission admission) {
+        if (!admission.isWaiting()) {
+            return;
+        }
+        admission.cancel();
+        trace.addRequest(call.header(ID_HEADER), call.host(), call.path(), call.arrivedMicros());
+        trace.setResponse(clock.getAsLong(), 0, null);
     }
 
     /** @param tenant null for a call that needs no API key, which is treated as an internal call */
--- a/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/ServiceRequestHandler.java
@@ -149,11 +149,15 @@
 
     // ---- Admission
 
-    /** Takes over a request, and from now on ensures that its client gets one response. */
+    /** Takes over a request, and from now on ensures that its client gets one response, unless it has left already. */
     void handle(ProxiedRequest request) {
         long now = clock.getAsLong();
         inFlight.add(request);
         request.call.onDisconnect(() -> clientDisconnected(request));
+        if (request.state.isClosed()) {
+            // The client had left before: the load balancer would count an attempt that nobody sends or ends.
+            return;
+        }
         if (endpoints.isEmpty()) {
             inFlight.respondError(request, ErrorKind.NOT_READY, NO_ENDPOINTS_RETRY_AFTER_MICROS);
             inFlight.removeIfEnded(request);
--- a/src/main/java/org/cypressweir/dataplane/quota/QuotaGate.java
+++ b/src/main/java/org/cypressweir/dataplane/quota/QuotaGate.java
@@ -51,13 +51,10 @@
     private static final long MAX_RETRY_AFTER_MICROS = 1_000_000;
     private static final int INITIAL_PROXY_COUNT = 8;
 
-    /** A request that waits for a token until the given time. */
-    private record Waiting(long expiresAt, Runnable onAdmitted, LongConsumer onRejected) {}
-
     /** A tenant's account and its waiting requests. */
     private static final class Tenant {
         private final TokenAccount account;
-        private final Deque<Waiting> waiting = new ArrayDeque<>();
+        private final Deque<Admission> waiting = new ArrayDeque<>();
         /** Controllers that had no tokens since a controller last had some. */
         private final Set<String> controllersWithoutTokens = new HashSet<>();
         /** The controller that was asked and has not responded yet; null for none. */
@@ -129,24 +126,28 @@
      * Admits a request, at once or after a short wait, or rejects it.
      *
      * @param onRejected gets the time in microseconds after which to retry
+     * @return the admission, to be cancelled if the client leaves while it waits
      */
-    public void admit(long nowMicros, String name, TenantLimit limit, Runnable onAdmitted, LongConsumer onRejected) {
+    public Admission admit(
+            long nowMicros, String name, TenantLimit limit, Runnable onAdmitted, LongConsumer onRejected) {
         demand.count(nowMicros, name);
         Tenant tenant = tenant(nowMicros, name, limit);
+        Admission admission = new Admission(onAdmitted, onRejected);
         if (tenant.waiting.isEmpty() && tenant.account.trySpend(nowMicros)) {
             requestTokensInAdvance(nowMicros, name, tenant);
-            onAdmitted.run();
-            return;
+            admission.admit();
+            return admission;
         }
         boolean mayGetTokens = tenant.askedController != null || nowMicros >= tenant.backoffUntil;
         if (!mayGetTokens || tenant.waiting.size() >= MAX_WAITING) {
-            reject(nowMicros, tenant, onRejected);
-            return;
+            reject(nowMicros, tenant, admission);
+            return admission;
         }
-        tenant.waiting.add(new Waiting(nowMicros + MAX_WAIT_MICROS, onAdmitted, onRejected));
+        admission.waitIn(tenant.waiting, nowMicros + MAX_WAIT_MICROS);
         if (tenant.askedController == null) {
             requestTokens(nowMicros, name, tenant);
         }
+        return admission;
     }
 
     private void requestTokensInAdvance(long nowMicros, String name, Tenant tenant) {
@@ -207,20 +208,20 @@
 
     private static void admitWaiting(long nowMicros, Tenant tenant) {
         while (!tenant.waiting.isEmpty() && tenant.account.trySpend(nowMicros)) {
-            tenant.waiting.remove().onAdmitted.run();
+            tenant.waiting.remove().admit();
         }
     }
 
     private static void rejectWaiting(long nowMicros, Tenant tenant) {
         while (!tenant.waiting.isEmpty()) {
-            reject(nowMicros, tenant, tenant.waiting.remove().onRejected);
+            reject(nowMicros, tenant, tenant.waiting.remove());
         }
     }
 
-    private static void reject(long nowMicros, Tenant tenant, LongConsumer onRejected) {
+    private static void reject(long nowMicros, Tenant tenant, Admission admission) {
         tenant.account.countRejected();
         long untilToken = tenant.account.microsUntilToken(nowMicros);
-        onRejected.accept(Math.max(MIN_RETRY_AFTER_MICROS, Math.min(MAX_RETRY_AFTER_MICROS, untilToken)));
+        admission.reject(Math.max(MIN_RETRY_AFTER_MICROS, Math.min(MAX_RETRY_AFTER_MICROS, untilToken)));
     }
 
     /** Rejects requests that have waited too long; to be called several times a second. */
@@ -242,8 +243,8 @@
             tenant.askedController = null;
         }
         admitWaiting(nowMicros, tenant);
-        while (!tenant.waiting.isEmpty() && tenant.waiting.peek().expiresAt <= nowMicros) {
-            reject(nowMicros, tenant, tenant.waiting.remove().onRejected);
+        while (!tenant.waiting.isEmpty() && tenant.waiting.peek().isExpired(nowMicros)) {
+            reject(nowMicros, tenant, tenant.waiting.remove());
         }
         if (!tenant.waiting.isEmpty() && tenant.askedController == null) {
             requestTokens(nowMicros, name, tenant);
--- a/src/test/java/org/cypressweir/testkit/RecordedServerRequest.java
+++ b/src/test/java/org/cypressweir/testkit/RecordedServerRequest.java
@@ -13,7 +13,8 @@
     private final String method;
     private final String uri;
     public final List<ServerResponse> responses = new ArrayList<>();
-    private Runnable disconnectTask;
+    private Runnable disconnectTask = () -> {};
+    private boolean disconnected;
 
     public RecordedServerRequest(String method, String uri) {
         this.method = method;
@@ -22,6 +23,7 @@
 
     /** Simulates that the client disconnects. */
     public void disconnect() {
+        disconnected = true;
         disconnectTask.run();
     }
 
@@ -69,6 +71,9 @@
     @Override
     public void onDisconnect(Runnable task) {
         disconnectTask = task;
+        if (disconnected) {
+            task.run();
+        }
     }
 
     @Override
