Requests with numbered ids are divided by weights and rollout shares, too

After an acknowledged weighted split, the service that was there before ran all of 400 requests and the new one none, since the clients numbered their requests.

RequestPosition takes the place from the whole hash, mixed by the finalizer of SplitMix64 that is used elsewhere (Hashes.uniform), with another salt for splits and for rollouts. Ids.of itself stays: its values are sent and stored. The same cause looked for at all other uses of Ids.of: endpoint ids, lease preferences, monitoring rings, cells and keys are mixed before bits of them choose; tenant buckets and ranks take the lowest bits, which the last character always changes. Positions are neither sent nor stored. Two builds at once place one id differently: in the middle of a rollout or of a split each proxy keeps the share, but a request that is sent again through a proxy of the other build may go to another version or service. Attempts of one proxy stay together.

--- a/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/OutboundListener.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 import org.cypressweir.common.diagnostics.RequestTrace;
 import org.cypressweir.common.transport.ErrorKind;
-import org.cypressweir.common.util.Ids;
 import org.cypressweir.controlplane.configuration.RouteConfiguration;
 import org.cypressweir.controlplane.configuration.TenantConfiguration;
 import org.cypressweir.controlplane.configuration.WeightedDestination;
@@ -196,7 +195,7 @@
         if (totalWeight == 0) {
             return firstWithWeight(route);
         }
-        double position = (Ids.of(id) >>> 10 & 0xfffff) / (double) 0x100000 * totalWeight;
+        double position = RequestPosition.SERVICE.of(id) * totalWeight;
         for (WeightedDestination destination : route.destinations()) {
             if (isAvailable(destination)) {
                 position -= destination.weight();
--- a/src/main/java/org/cypressweir/dataplane/proxy/RolloutRouting.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/RolloutRouting.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import org.cypressweir.common.util.Ids;
 import org.cypressweir.controlplane.configuration.Configuration;
 import org.cypressweir.controlplane.configuration.Rollout;
 import org.cypressweir.controlplane.configuration.RolloutState;
@@ -25,7 +24,6 @@
 final class RolloutRouting {
 
     private static final String GROUP_SEPARATOR = "@";
-    private static final int SHARE_BITS = 20;
     /** How many of the latest results of a new version are kept to decide on its suspension. */
     private static final int RECENT_RESULTS = 12;
 
@@ -118,17 +116,12 @@
                     case COMPLETED -> true;
                     case REVERTED -> false;
                     case IN_PROGRESS -> !serviceRollout.isSuspended()
-                            && position(requestId) < serviceRollout.rollout.shareOfTarget()
+                            && RequestPosition.VERSION.of(requestId) < serviceRollout.rollout.shareOfTarget()
                             && hasEndpoints.test(serviceRollout.targetGroup());
                 };
         return takesTarget ? serviceRollout.targetGroup() : serviceRollout.baseGroup();
     }
 
-    private static double position(String requestId) {
-        long bits = Ids.of(GROUP_SEPARATOR + requestId) >>> SHARE_BITS & (1L << SHARE_BITS) - 1;
-        return bits / (double) (1L << SHARE_BITS);
-    }
-
     /** Whether a group that requests may go to has endpoints. */
     boolean isAvailable(String service, Predicate<String> hasEndpoints) {
         ServiceRollout serviceRollout = rolloutsByService.get(service);
