--- a/src/main/java/org/cypressweir/loadbalancing/OverdueQueue.java
+++ b/src/main/java/org/cypressweir/loadbalancing/OverdueQueue.java
@@ -43,7 +43,9 @@
     T pollOverdue(long now, double minimumAge) {
         for (var items = recent.iterator(); items.hasNext(); items.remove()) {
             T item = items.next();
-            if (now - sentAt.applyAsLong(item) < minimumAge) break;
+            if (now - sentAt.applyAsLong(item) < minimumAge) {
+                break;
+            }
             older.add(item);
         }
         return older.isEmpty() || dueAt.applyAsLong(older.peek()) > now ? null : older.poll();
--- a/src/main/java/org/cypressweir/loadbalancing/SubsetLoadBalancer.java
+++ b/src/main/java/org/cypressweir/loadbalancing/SubsetLoadBalancer.java
@@ -768,7 +768,7 @@
         return uniform(p.hashSeed, b.id) < share * factor / Math.max(1, candidates);
     }
 
-    /** An ejected server is tried as if it were cold, less often with each failure, for a time by safe requests only. */
+    /** An ejected server is tried as if it were cold, less often with each failure, at first by safe requests only. */
     private boolean halfOpen(long now, Pending p, Backend b) {
         if (b.inFlight.size() > 0) eject(now, b, "still no answer");
         if (now < b.ejectedUntil) return false;
