Clients that leave early no longer count against healthy servers

While clients left before they had answers, a proxy ejected servers that were well (up to half of a service), and a rollout counted each such request as a failure of the version that ran it.

Such an attempt is reported as CANCELLED, after the latency target as TIMED_OUT, so that a server that answers too late for its clients does not look healthy. The transport of ClientDisconnectTest ends cancelled attempts as the real one does.

--- a/src/main/java/org/cypressweir/dataplane/http/upstream/RequestState.java
+++ b/src/main/java/org/cypressweir/dataplane/http/upstream/RequestState.java
@@ -93,6 +93,11 @@
         return responded || disconnected;
     }
 
+    /** Whether the client disconnected before it had a response. */
+    public boolean isDisconnected() {
+        return disconnected;
+    }
+
     /** Whether an attempt may be sent now. */
     public boolean maySend() {
         return !isClosed() && (idempotent || !mayHaveRun());
--- a/src/main/java/org/cypressweir/dataplane/proxy/AttemptDispatcher.java
+++ b/src/main/java/org/cypressweir/dataplane/proxy/AttemptDispatcher.java
@@ -125,7 +125,7 @@
 
     private void reportOutcome(
             long now, ProxiedRequest request, int index, ProxiedRequest.Attempt attempt, AttemptResult attemptResult) {
-        Result result = AttemptReports.result(attemptResult.outcome());
+        Result result = result(now, request, attemptResult.outcome());
         observer.attemptEnded(request.route.name(), result, now - attempt.sentAt);
         long endpointId = attempt.endpoint == null ? 0 : attempt.endpoint.id();
         loadBalancer.outcome(
@@ -139,4 +139,18 @@
                         result == Result.SERVED,
                         AttemptReports.loadReport(attemptResult.load())));
     }
+
+    /**
+     * The result as the load balancer sees it. An idempotent attempt is broken off once its client has left: that says
+     * nothing about the endpoint, unless the response was late already.
+     */
+    private static Result result(long now, ProxiedRequest request, RequestOutcome outcome) {
+        boolean isBrokenOff = request.state.isDisconnected()
+                && request.route.idempotent()
+                && outcome instanceof RequestOutcome.MayHaveRun;
+        if (!isBrokenOff) {
+            return AttemptReports.result(outcome);
+        }
+        return now < request.latencyTargetAt ? Result.CANCELLED : Result.TIMED_OUT;
+    }
 }
--- a/src/test/java/org/cypressweir/dataplane/proxy/ClientDisconnectTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ClientDisconnectTest.java
@@ -134,12 +134,19 @@
             if (attempt.outcome == null) {
                 attempt.complete(
                         attempt.cancelled
-                                ? new RequestOutcome.NotRun(RejectionReason.CANCELLED, 0)
+                                ? cancelledOutcome(attempt)
                                 : new RequestOutcome.Responded(200, List.of(), new byte[0]));
             }
         }
     }
 
+    /** An idempotent request is broken off at the server; another one ends there, or has not been sent yet. */
+    private static RequestOutcome cancelledOutcome(ProxyFixture.SentAttempt attempt) {
+        return attempt.request.idempotent()
+                ? new RequestOutcome.MayHaveRun("cancelled")
+                : new RequestOutcome.NotRun(RejectionReason.CANCELLED, 0);
+    }
+
     /** Guards against a service that a proxy closes to all clients, since some have left while they waited. */
     @ParameterizedTest
     @EnumSource
--- a/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ProxyFixture.java
@@ -14,6 +14,7 @@
 import org.cypressweir.dataplane.http.upstream.RequestOutcome;
 import org.cypressweir.dataplane.http.upstream.UpstreamLoad;
 import org.cypressweir.dataplane.http.upstream.UpstreamRequest;
+import org.cypressweir.loadbalancing.LoadBalancer.Result;
 import org.cypressweir.testkit.RecordedServerRequest;
 
 /** A request handler with simulated time, clients and instances; the test decides how and when each attempt ends. */
@@ -83,6 +84,8 @@
     final List<SentAttempt> sent = new ArrayList<>();
     /** Called with each attempt as it is sent. */
     Consumer<SentAttempt> onSend = attempt -> {};
+    /** The results of attempts that were reported to the observer. */
+    final List<Result> observedResults = new ArrayList<>();
     /** Whether sending fails for a non-idempotent request that may have run before. */
     boolean strict = true;
 
@@ -103,7 +106,7 @@
                 0,
                 List.of("z"),
                 ServiceRequestHandler.retryBudget(10_000_000, 50, 0.25),
-                AttemptObserver.NONE);
+                (route, result, latencyMicros) -> observedResults.add(result));
         updateEndpoints(endpointCount);
     }
 
--- a/src/test/java/org/cypressweir/dataplane/proxy/ServiceRequestHandlerTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ServiceRequestHandlerTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import org.cypressweir.dataplane.http.upstream.RejectionReason;
 import org.cypressweir.dataplane.http.upstream.RequestOutcome;
+import org.cypressweir.loadbalancing.LoadBalancer.Result;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -18,6 +19,7 @@
 
     private static final List<RejectionReason> REASONS = List.copyOf(EnumSet.allOf(RejectionReason.class));
     private static final RequestOutcome LOST = new RequestOutcome.MayHaveRun("lost");
+    private static final RequestOutcome CANCELLED_IN_FLIGHT = new RequestOutcome.MayHaveRun("cancelled");
 
     private static RequestOutcome notRun(RejectionReason reason) {
         return new RequestOutcome.NotRun(reason, 0);
@@ -246,6 +248,57 @@
         assertThat(fixture.handler().inFlightCount()).isZero();
     }
 
+    /** Lets an attempt end as it does at a server that has begun to receive it, once it is cancelled. */
+    private static void breakOffWhenCancelled(ProxyFixture.SentAttempt sent) {
+        sent.whenCancelled = () -> sent.complete(CANCELLED_IN_FLIGHT);
+    }
+
+    /** Guards against a healthy endpoint that is ejected because clients have left early. */
+    @Test
+    void endpointIsNotEjectedBecauseClientsLeave() {
+        ProxyFixture fixture = new ProxyFixture(3);
+        fixture.onSend = ServiceRequestHandlerTest::breakOffWhenCancelled;
+        for (int i = 0; i < 60; i++) {
+            ProxyFixture.Client client = fixture.request(true);
+            fixture.advance(20_000);
+            client.disconnect();
+            fixture.advance(1_000);
+        }
+        fixture.sent.clear();
+        fixture.onSend = sent -> fixture.schedule(8_000, () -> sent.respond(200));
+        for (int i = 0; i < 60; i++) {
+            fixture.request(false);
+            fixture.advance(10_000);
+        }
+        assertThat(fixture.sent.stream().map(sent -> sent.endpoint.instanceId()))
+                .contains("i0", "i1", "i2");
+    }
+
+    /** Guards against a rollout that takes the impatience of clients for failures of the new version. */
+    @Test
+    void attemptOfAClientThatLeavesBeforeTheLatencyTargetIsNoFailure() {
+        assertThat(resultIfClientLeavesAfter(ProxyFixture.LATENCY_TARGET_MICROS / 4))
+                .isEqualTo(Result.CANCELLED);
+    }
+
+    /** An instance that answers so late that clients leave does not look healthy. */
+    @Test
+    void attemptOfAClientThatLeavesAfterTheLatencyTargetHasTimedOut() {
+        assertThat(resultIfClientLeavesAfter(ProxyFixture.LATENCY_TARGET_MICROS))
+                .isEqualTo(Result.TIMED_OUT);
+    }
+
+    private static Result resultIfClientLeavesAfter(long micros) {
+        ProxyFixture fixture = new ProxyFixture(1);
+        fixture.onSend = ServiceRequestHandlerTest::breakOffWhenCancelled;
+        ProxyFixture.Client client = fixture.request(true);
+        fixture.advance(micros);
+        client.disconnect();
+        fixture.advance(1_000);
+        assertThat(fixture.observedResults).hasSize(1);
+        return fixture.observedResults.get(0);
+    }
+
     private static Runnable randomCompletion(SplittableRandom random, ProxyFixture.SentAttempt sent) {
         return switch (random.nextInt(10)) {
             case 0, 1, 2, 3, 4 -> () -> sent.respond(200);
