--- a/src/test/java/org/cypressweir/dataplane/proxy/ClientDisconnectTest.java
+++ b/src/test/java/org/cypressweir/dataplane/proxy/ClientDisconnectTest.java
@@ -87,7 +87,7 @@
 
     private static String tenant(String name, double ratePerSecond) {
         return "'" + name + "':{'apiKeys':['key-" + name + "'],'priority':1,'ratePerS':" + ratePerSecond
-                + ",'burstSize':1," + "'configVersion':'r1'}";
+                + ",'burstSize':1,'configVersion':'r1'}";
     }
 
     private OutboundListenerFixture.Client request(String path) {
@@ -172,8 +172,7 @@
             fixture.advance(1_000_000);
             statuses.add(client.status());
         }
-        // A server that has refused connections is tried like a cold one, so that it may take some requests until it
-        // is.
+        // An endpoint that has refused connections gets few requests at first, like a cold one.
         assertThat(statuses.subList(LATER_CLIENTS / 2, LATER_CLIENTS)).containsOnly(200);
     }
 
